--- /dev/null
+++ b/topazhold/cli.py
@@ -0,0 +1,85 @@
+"""The command line."""
+
+from __future__ import annotations
+
+import logging
+import os
+import sys
+from pathlib import Path
+
+import click
+
+from topazhold import __version__
+from topazhold import settings as conf
+
+OPERATOR_FILE = Path(__file__).resolve().parent.parent / "deploy" / "operator.textproto"
+LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
+
+
+def set_up_logging() -> None:
+    """Log to standard error in the amount that LOG_LEVEL gives."""
+    level = LEVELS.get(os.environ.get("LOG_LEVEL", "info").lower(), logging.INFO)
+    logging.basicConfig(
+        level=level, stream=sys.stderr, format="%(asctime)s %(levelname)s %(name)s: %(message)s"
+    )
+
+
+def read_settings(config: Path, operator: Path | None) -> tuple[conf.Settings, conf.Operator]:
+    """Both settings files, or one clear line and exit status 2."""
+    if operator is None and OPERATOR_FILE.exists():
+        operator = OPERATOR_FILE
+    try:
+        return conf.load(config), conf.load_operator(operator)
+    except conf.SettingsError as exc:
+        click.echo(f"topazhold: {exc}", err=True)
+        sys.exit(2)
+
+
+CONFIG = click.option(
+    "--config", type=click.Path(path_type=Path), required=True, help="The platform's settings."
+)
+OPERATOR = click.option(
+    "--operator", type=click.Path(path_type=Path), help="The operators' own settings."
+)
+
+
+@click.group(invoke_without_command=True)
+@click.version_option(__version__, prog_name="topazhold")
+@click.option("--config", type=click.Path(path_type=Path), help="The platform's settings (TOML).")
+@click.option(
+    "--operator", type=click.Path(path_type=Path),
+    help="The operators' own settings (protobuf text).  [default: deploy/operator.textproto]",
+)  # fmt: skip
+@click.pass_context
+def main(ctx: click.Context, config: Path | None, operator: Path | None) -> None:
+    """Schedule gangs and arrays of jobs on rented machines."""
+    if ctx.invoked_subcommand is not None:
+        return
+    if config is None:
+        raise click.UsageError("--config FILE is needed")
+    settings, own = read_settings(config, operator)
+    set_up_logging()
+    import curio
+
+    from topazhold.control.node import Node
+
+    async def serve() -> None:
+        await Node(settings, own).run()
+
+    try:
+        curio.run(serve)
+    except KeyboardInterrupt:
+        pass
+
+
+@main.command()
+@CONFIG
+@OPERATOR
+def check(config: Path, operator: Path | None) -> None:
+    """Check the settings and start nothing."""
+    settings, _ = read_settings(config, operator)
+    click.echo(f"{config}: good, node {settings.node_name}")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/topazhold/control/__init__.py
@@ -0,0 +1,1 @@
+"""Joins the core to the outside world."""
--- /dev/null
+++ b/topazhold/control/booking.py
@@ -0,0 +1,192 @@
+"""This controller's search for its gangs, and its holds."""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections.abc import Sequence
+from random import Random
+from typing import Any
+
+import curio
+
+from topazhold.control.store import DECISIONS, TROUBLE, Conflict, Store
+from topazhold.core.holds import HOLD_PREFIX, Hold, HoldBook, pack_value
+from topazhold.core.search import Group, Offer, SearchRules, search, unpack_offer
+from topazhold.settings import Operator, Settings
+from topazhold.wire import messages as wire
+from topazhold.wire.messages import JobSpec
+
+log = logging.getLogger(__name__)
+
+#: Gangs searched for in one round; the rest wait their turn.
+MOST_SEARCHED = 8
+#: Holds in one value.
+MOST_HOLDS = 24
+#: A new group must be better by this many report periods to replace a hold.
+BETTER_REPORTS = 1.0
+
+
+class Wanted:
+    """A gang that this controller searches for."""
+
+    __slots__ = ("spec", "rank", "since")
+
+    def __init__(self, spec: JobSpec, rank: tuple[int, int], since: float) -> None:
+        self.spec = spec
+        self.rank = rank
+        self.since = since
+
+
+class View:
+    """The fleet as the summaries show it."""
+
+    def __init__(self) -> None:
+        self.at = -1e9
+        self.crown = 0
+        self.directory: list[tuple[str, str]] = []
+        self.caches: dict[str, Sequence[Offer]] = {}
+        self.waiting: dict[str, tuple[str, tuple[int, int], bool]] = {}
+        self.running: dict[str, int] = {}
+
+    def read_zone(self, zone: str, data: Any) -> None:
+        offers = []
+        for item in data.get("cache", ()):
+            try:
+                offers.append(unpack_offer(zone, item))
+            except ValueError:
+                continue
+        self.caches[zone] = offers
+        self.directory = [pair for pair in self.directory if pair[1] != zone]
+        self.directory += [(str(name), zone) for name in data.get("all", ())]
+
+    def read_jobs(self, data: Any) -> None:
+        self.crown = int(data.get("crown", 0))
+        self.waiting = {
+            str(job): (str(node), (int(outside), int(level)), bool(wants))
+            for job, node, outside, level, wants in data.get("waiting", ())
+        }
+        self.running = {str(job): int(count) for job, count in data.get("running", {}).items()}
+
+
+class Booking:
+    """Searches for waiting gangs and books each better group at once."""
+
+    def __init__(
+        self, settings: Settings, operator: Operator, store: Store, book: HoldBook, rng: Random
+    ) -> None:
+        workers = settings.cluster.workers
+        self.node = settings.node_name
+        self._store = store
+        self.book = book
+        self._rng = rng
+        self._lapse_s = operator.hold_lapse_s
+        self._report_s = workers.report_s
+        self._tries = len(settings.cluster.zones)
+        self._limit = int(settings.cluster.state.value_kb * 1024 * 0.9)
+        self._zones = settings.cluster.zones
+        self.rules = SearchRules(
+            operator.alpha, operator.search_groups, operator.search_rounds,
+            distance_s=workers.report_s, preference_s=0.5 * workers.report_s,
+        )  # fmt: skip
+        self.wanted: dict[str, Wanted] = {}
+        self.mine: dict[str, Hold] = {}
+        self._written: list[Any] | None = None
+        self._serial = 0
+        self._sequence = 0
+        self.wake = curio.Event()
+
+    async def accepted(self, spec: JobSpec, now: float) -> None:
+        """This node has accepted a gang: search for it now."""
+        self.wanted[spec.id] = Wanted(spec, (1, wire.URGENCIES.index(spec.urgency)), now)
+        await self.wake.set()
+
+    def forget(self, job: str) -> None:
+        self.wanted.pop(job, None)
+        self.mine.pop(job, None)
+
+    def reset(self) -> None:
+        """The holds lapsed with the lease."""
+        self.mine.clear()
+        self._written = None
+
+    def _search(self, wanted: Wanted, view: View, draft: HoldBook) -> Group | None:
+        taken = draft.taken(wanted.spec.id, wanted.rank, lambda hold: True)
+        return search(
+            self._rng, view.directory, view.caches, wanted.spec, wanted.rank[1], taken,
+            self.rules, self._tries,
+        )  # fmt: skip
+
+    def round(self, view: View, now: float) -> None:
+        """One round of searches; changes `mine` where a better group turned up."""
+        wall = time.time()
+        for job, hold in list(self.mine.items()):
+            late = wall - hold.made > self._lapse_s and not hold.free_now
+            if job not in self.wanted or late:
+                del self.mine[job]
+        # Others' holds as they were read, our own as they are to be written.
+        draft = HoldBook(self.node)
+        draft.holds = {**self.book.holds, self.node: self.mine}
+        order = sorted(
+            self.wanted.values(), key=lambda w: (w.spec.id in self.mine, w.rank, w.since)
+        )
+        for wanted in order[:MOST_SEARCHED]:
+            job = wanted.spec.id
+            old = self.mine.get(job)
+            if old is None and len(self.mine) >= MOST_HOLDS:
+                continue
+            group = self._search(wanted, view, draft)
+            if group is None:
+                continue
+            margin = BETTER_REPORTS * self._report_s
+            if old is not None:
+                # What is left of the old wait; a better group replaces it.
+                left = max(0.0, old.score - (wall - old.made))
+                if group.score > left - margin:
+                    continue
+            self._hold(wanted, group, wall)
+
+    def _hold(self, wanted: Wanted, group: Group, wall: float) -> None:
+        spec = wanted.spec
+        self._serial = max(self._serial + 1, int(wall * 1000))
+        self.mine[spec.id] = Hold(
+            spec.id, group.slots, (spec.vcpus, spec.cards, spec.ram_gb), group.score,
+            self._serial, wall, group.room_wait <= 0.0, wanted.rank,
+        )  # fmt: skip
+        log.info(
+            "hold %s on %s, wait %.1f s, score %.1f",
+            spec.id, ",".join(group.slots), group.wait, group.score,
+        )  # fmt: skip
+
+    async def write(self, permit: int) -> bool:
+        """Write the holds if they changed; False if another's booking came between."""
+        packed = [hold.pack() for hold in self.mine.values()]
+        if packed == self._written:
+            return True
+        self._sequence += 1
+        token = f"{self.node}-{permit}-{self._sequence}"
+        value = pack_value(self.mine.values(), token)
+        key = HOLD_PREFIX + self.node
+        try:
+            mark = await self._store.commit(
+                self.book.guards(), [wire.put(key, value, permit)], DECISIONS, key, token,
+                give_up_s=2.0,
+            )
+        except Conflict:
+            # Two controllers booked at once: the other one won, search again.
+            self.mine.clear()
+            await self.read_book()
+            return False
+        except TROUBLE as exc:
+            log.debug("holds not written: %s", exc)
+            return False
+        self._written = packed
+        self.book.read(self.node, value, mark)
+        return True
+
+    async def read_book(self) -> None:
+        """All controllers' holds, as the state service has them."""
+        entries, _ = await self._store.list(HOLD_PREFIX)
+        self.book.replace(
+            {entry.key[len(HOLD_PREFIX):]: (entry.data, entry.mark) for entry in entries}
+        )  # fmt: skip
--- /dev/null
+++ b/topazhold/control/cloud.py
@@ -0,0 +1,87 @@
+"""The cloud: catalog, rentals, releases, machine list."""
+
+from __future__ import annotations
+
+import curio
+
+from topazhold.core.renting import Ask
+from topazhold.io.http import Client, NoAnswer, NotSent
+from topazhold.io.rate import Bucket
+from topazhold.wire import messages as wire
+from topazhold.wire.codec import BadMessage, read
+from topazhold.wire.messages import Breed, ListedBox
+
+#: Most names in a release, most machines in a page of the list.
+MOST_RELEASED = 100
+PAGE = 500
+
+
+class CloudDown(Exception):
+    """No use could be made of the cloud just now."""
+
+
+class NoCapacity(Exception):
+    """Nothing to rent of that type, zone and kind."""
+
+
+class Cloud:
+    """One controller's access; every request can be repeated as it is."""
+
+    def __init__(self, address: tuple[str, int], rps: float, timeout_s: float) -> None:
+        self._client = Client(address, keep=2)
+        self._bucket = Bucket(rps)
+        self._timeout_s = timeout_s
+
+    async def _ask(self, method: str, target: str, message: object) -> tuple[int, bytes]:
+        now = await curio.clock()
+        if not self._bucket.take(now):
+            raise CloudDown("request limit")
+        try:
+            return await self._client.ask(method, target, message, self._timeout_s)
+        except (NotSent, NoAnswer) as exc:
+            raise CloudDown(str(exc)) from None
+
+    async def catalog(self) -> list[Breed]:
+        status, body = await self._ask("GET", wire.CATALOG_PATH, None)
+        if status != 200:
+            raise CloudDown(f"status {status}")
+        try:
+            return read(body, wire.Catalog).breeds
+        except BadMessage as exc:
+            raise CloudDown(f"catalog: {exc}") from None
+
+    async def rent(self, name: str, ask: Ask) -> list[str]:
+        """Rent machines; repeating the name gives the same ones."""
+        body = wire.rent_body(name, ask.breed, ask.zone, ask.spot, ask.count)
+        status, answer = await self._ask("POST", wire.MACHINES_PATH, body)
+        if status == 503 and b"no capacity" in answer:
+            raise NoCapacity
+        if status != 200:
+            raise CloudDown(f"status {status}")
+        try:
+            return read(answer, wire.Rented).boxes
+        except BadMessage as exc:
+            raise CloudDown(f"rental: {exc}") from None
+
+    async def release(self, names: list[str]) -> None:
+        """Returns only once the machines are gone."""
+        status, _ = await self._ask("POST", wire.RELEASE_PATH, wire.release_body(names))
+        if status != 200:
+            raise CloudDown(f"status {status}")
+
+    async def machines(self) -> list[ListedBox]:
+        """The whole list, as late as it is."""
+        boxes: list[ListedBox] = []
+        after: str | None = None
+        while True:
+            status, body = await self._ask("GET", wire.list_query(after, PAGE), None)
+            if status != 200:
+                raise CloudDown(f"status {status}")
+            try:
+                page = read(body, wire.BoxPage)
+            except BadMessage as exc:
+                raise CloudDown(f"list: {exc}") from None
+            boxes += page.boxes
+            if not page.truncated or not page.boxes:
+                return boxes
+            after = page.boxes[-1].id
--- /dev/null
+++ b/topazhold/control/node.py
@@ -0,0 +1,453 @@
+"""One controller: its servers, its lease, its part in elections."""
+
+from __future__ import annotations
+
+import logging
+import time
+from random import Random
+from typing import Any
+
+import curio
+
+from topazhold.control.booking import Booking, View, Wanted
+from topazhold.control.cloud import Cloud, CloudDown
+from topazhold.control.reign import Reign
+from topazhold.control.store import (
+    DECISIONS,
+    LEASES,
+    TROUBLE,
+    Conflict,
+    Store,
+    WatchLost,
+)
+from topazhold.control.users import Users
+from topazhold.core import records
+from topazhold.core.holds import HoldBook
+from topazhold.core.jobs import Job
+from topazhold.core.leadership import CROWN_KEY, QUEEN_KEY, Leadership, Role, read_value
+from topazhold.io.http import Answer, Request, Server
+from topazhold.io.links import Link, Listener
+from topazhold.settings import Operator, Settings, address
+from topazhold.wire import messages as wire
+from topazhold.wire.codec import BadMessage, read
+from topazhold.wire.messages import Breed, JobSpec, Orders, Report
+
+log = logging.getLogger(__name__)
+
+#: A lease's time, as a share of the workers' lease, and its bounds in seconds.
+GRANT_LEASES = 0.2
+GRANT_BOUNDS = (1.5, 4.0)
+#: Steady clocks drift; a lease is taken to end this much earlier.
+DRIFT = 0.002
+#: The catalog's prices move slowly.
+CATALOG_REPORTS = 60
+
+
+class Node:
+    """A controller process."""
+
+    def __init__(self, settings: Settings, operator: Operator) -> None:
+        cluster = settings.cluster
+        self.settings = settings
+        self.operator = operator
+        self.name = settings.node_name
+        self.report_s = cluster.workers.report_s
+        low, high = GRANT_BOUNDS
+        self.grant_s = min(high, max(low, GRANT_LEASES * cluster.workers.lease_s))
+        self.rng = Random(f"{self.name}:{time.time_ns()}")
+        self.store = Store(
+            address(settings.outside.state), cluster.state.rps, cluster.state.write_rps,
+            timeout_s=0.4 * self.grant_s,
+        )  # fmt: skip
+        self.cloud = Cloud(address(settings.outside.cloud), cluster.cloud.rps, timeout_s=5.0)
+        self.leadership = Leadership(self.name)
+        self.book = HoldBook(self.name)
+        self.breeds: dict[str, Breed] = {}
+        self.view = View()
+        self.booking = Booking(settings, operator, self.store, self.book, self.rng)
+        self.users = Users(
+            settings, self.store, self.breeds, self._accepted, self._running_count
+        )
+        self.reign: Reign | None = None
+        self.permit: int | None = None
+        self.valid_until = 0.0
+        self._election = curio.Event()
+        self._links = {
+            seed.node_name: Link(address(seed.addr), 0.5) for seed in settings.seeds
+        }
+        self._share(False)
+
+    def _share(self, reigning: bool) -> None:
+        """The queen needs most of the state service's limits."""
+        nodes = 1 + len(self._links)
+        if nodes == 1:
+            self.store.set_share(1.0)
+        elif reigning:
+            self.store.set_share(0.55)
+        else:
+            self.store.set_share(0.45 / (nodes - 1))
+
+    async def run(self) -> None:
+        """Serve until killed."""
+        sockets = self.settings.cluster.limits.sockets
+        public = Server(self.handle, int(sockets * 0.8), idle_s=120.0)
+        peers = Listener(self.peer_message, idle_s=60.0)
+        async with curio.TaskGroup(wait=any) as group:
+            await group.spawn(public.run, address(self.settings.bind))
+            await group.spawn(peers.run, address(self.settings.peer_listen))
+            for link in self._links.values():
+                await group.spawn(link.run)
+            for loop in (
+                self._lease_loop, self._queen_loop, self._reign_loop, self._catalog_loop,
+                self._ping_loop, self._booking_loop,
+            ):  # fmt: skip
+                await group.spawn(loop)
+            log.info("node %s serves %s", self.name, self.settings.bind)
+        if group.exception is not None:
+            raise group.exception
+
+    # -- requests ----------------------------------------------------------
+
+    async def handle(self, request: Request) -> Answer:
+        if request.path == wire.REPORT_PATH:
+            if request.method != "POST":
+                return Answer(405)
+            return await self._report(request.body)
+        if request.path == wire.HEALTH_PATH:
+            if request.method != "GET":
+                return Answer(405)
+            return Answer(200 if self._healthy() else 503)
+        answer = await self.users.handle(request)
+        return answer if answer is not None else Answer(404)
+
+    def _healthy(self) -> bool:
+        """Whether requests can be taken here."""
+        return bool(self.breeds) and self.permit is not None
+
+    async def _report(self, body: bytes) -> Answer:
+        try:
+            rep = read(body, Report)
+        except BadMessage as exc:
+            log.debug("report refused: %s", exc)
+            return Answer(400)
+        lead = self.leadership
+        reign = self.reign
+        if rep.crown > lead.crown:
+            # A worker knows a reign that this node does not: whoever thinks
+            # to be queen here is not any more.
+            lead.crown = rep.crown
+            if reign is not None:
+                await self._depose("a worker knows a higher crown")
+            lead.queen = None
+            return Answer(421, wire.redirect(None))
+        if reign is None or not lead.reigning:
+            queen = lead.queen if lead.queen != self.name else None
+            return Answer(421, wire.redirect(queen))
+        if not reign.loaded:
+            return Answer(200, Orders(reign.crown, []))
+        _, calls = await reign.hear(rep)
+        if self.reign is not reign:
+            return Answer(421, wire.redirect(None))
+        return Answer(200, Orders(reign.crown, calls))
+
+    async def _accepted(self, job: Job) -> None:
+        if self.reign is not None:
+            await self.reign.accepted(job)
+        if job.gang:
+            await self.booking.accepted(job.spec, await curio.clock())
+
+    def _running_count(self, job_id: str) -> int:
+        if self.reign is not None and self.reign.loaded:
+            job = self.reign.realm.jobs.get(job_id)
+            return job.running_count() if job is not None else 0
+        return self.view.running.get(job_id, 0)
+
+    # -- the lease -----------------------------------------------------------
+
+    async def _lease_loop(self) -> None:
+        """Keep one grant; the leadership and the holds hang on it."""
+        while True:
+            sent = await curio.clock()
+            try:
+                if self.permit is None:
+                    self.permit = await self.store.grant(self.grant_s)
+                    self.booking.reset()
+                    log.info("lease %d granted", self.permit)
+                elif not await self.store.touch(self.permit):
+                    log.info("lease %d ended", self.permit)
+                    self.permit = None
+                    await self._depose("the lease ended")
+                    continue
+                self.valid_until = sent + self.grant_s * (1 - DRIFT)
+            except TROUBLE as exc:
+                log.debug("lease: %s", exc)
+                await curio.sleep(0.1 * self.grant_s)
+                continue
+            await self._election.set()
+            await curio.sleep(self.grant_s / 4)
+
+    # -- elections -----------------------------------------------------------
+
+    async def _queen_loop(self) -> None:
+        """Follow the leadership key; stand when it is free."""
+        while True:
+            try:
+                entry = await self.store.get(QUEEN_KEY, LEASES)
+                harvest = entry.mark if entry is not None else None
+                if entry is None:
+                    self.leadership.vacant()
+                    if self.permit is not None and self.leadership.role is Role.FOLLOWER:
+                        await self._stand()
+                    else:
+                        await curio.sleep(0.05 * self.grant_s)
+                    continue
+                await self._seen_queen(entry.data, entry.mark)
+                await self._follow(harvest or 0)
+            except WatchLost:
+                continue
+            except TROUBLE as exc:
+                log.debug("leadership: %s", exc)
+                await curio.sleep(0.1 * self.grant_s)
+
+    async def _follow(self, harvest: int) -> None:
+        """Wait until the leadership key changes."""
+        while True:
+            page = await self.store.watch(QUEEN_KEY, harvest, 4 * self.grant_s)
+            harvest = max(harvest, page.harvest)
+            for event in page.events:
+                key, data, mark = wire.event_key(event)
+                if key != QUEEN_KEY:
+                    continue
+                if data is None:
+                    log.info("the leadership is vacant")
+                    return
+                await self._seen_queen(data, mark)
+
+    async def _seen_queen(self, data: Any, mark: int) -> None:
+        value = read_value(data)
+        if value is None:
+            return
+        queen, crown = value
+        lead = self.leadership
+        if queen == self.name and not lead.reigning:
+            # Left over from an earlier life of this node, or an election won
+            # without an answer; it lapses with its lease.
+            return
+        if queen == self.name and crown == lead.crown:
+            return
+        if lead.learn(queen, crown):
+            await self._depose("another queen was elected")
+
+    async def _stand(self) -> None:
+        lead = self.leadership
+        permit = self.permit
+        assert permit is not None
+        lead.stand()
+        try:
+            last = await self.store.get(CROWN_KEY, LEASES)
+            crown = max(lead.crown, int(last.data["crown"]) if last is not None else 0) + 1
+            token = f"{self.name}-{permit}-{crown}"
+            value = {**lead.value(crown), "by": token}
+            mark = await self.store.commit(
+                [(QUEEN_KEY, 0), (CROWN_KEY, last.mark if last is not None else 0)],
+                [wire.put(QUEEN_KEY, value, permit), wire.put(CROWN_KEY, value)],
+                LEASES, QUEEN_KEY, token, give_up_s=self.grant_s,
+            )  # fmt: skip
+        except Conflict:
+            lead.step_down()
+            return
+        except TROUBLE:
+            lead.step_down()
+            raise
+        if self.permit != permit:
+            lead.step_down()
+            return
+        lead.win(crown, mark)
+        log.info("node %s elected queen, crown %d", self.name, crown)
+        self._share(True)
+        self.reign = Reign(
+            self.settings, self.operator, self.store, self.cloud, self.book, self.breeds,
+            crown, mark, self.rng, await curio.clock(), self._tell,
+        )  # fmt: skip
+        await self._election.set()
+        await self._ping()
+
+    async def _depose(self, why: str) -> None:
+        """End this node's reign, if there is one."""
+        if self.reign is None:
+            return
+        log.info("node %s is queen no more: %s", self.name, why)
+        self.leadership.step_down()
+        self.reign = None
+        self._share(False)
+        await self._election.set()
+
+    async def _reign_loop(self) -> None:
+        """Run the reign's loops for as long as it lasts."""
+        while True:
+            await self._election.wait()
+            self._election.clear()
+            reign = self.reign
+            if reign is None:
+                continue
+            task = await curio.spawn(reign.run)
+            while self.reign is reign and not task.terminated:
+                await curio.ignore_after(0.25 * self.grant_s, self._election.wait)
+                self._election.clear()
+            await task.cancel()
+            if self.reign is reign:
+                await self._depose("its loops ended")
+                await self._drop_lease()
+
+    async def _drop_lease(self) -> None:
+        """Free the leadership at once, so that others need not wait for it to lapse."""
+        permit, self.permit = self.permit, None
+        if permit is not None:
+            try:
+                await self.store.end_grant(permit)
+            except TROUBLE as exc:
+                log.debug("lease not dropped: %s", exc)
+
+    # -- peers ---------------------------------------------------------------
+
+    async def _tell(self, message: tuple[Any, ...]) -> None:
+        for link in self._links.values():
+            await link.send(message)
+
+    async def _ping(self) -> None:
+        lead = self.leadership
+        await self._tell(("ping", self.name, lead.crown, lead.queen or ""))
+
+    async def _ping_loop(self) -> None:
+        while True:
+            await self._ping()
+            await curio.sleep(0.25 * self.grant_s)
+
+    async def peer_message(self, message: tuple[Any, ...]) -> None:
+        """A message of another controller: hints only."""
+        tag = message[0]
+        if tag == "ping":
+            _, _, crown, queen = message
+            if queen and int(crown) >= self.leadership.crown:
+                if self.leadership.learn(str(queen), int(crown)):
+                    await self._depose("a peer follows a later queen")
+        elif tag == "summary":
+            _, crown, values = message
+            if int(crown) >= self.leadership.crown and self.reign is None:
+                self._read_summary(values, await curio.clock())
+
+    # -- booking ---------------------------------------------------------------
+
+    def _read_summary(self, values: dict[str, Any], now: float) -> None:
+        for zone, data in values.items():
+            if zone:
+                self.view.read_zone(zone, data)
+            else:
+                self.view.read_jobs(data)
+        self.view.at = now
+
+    async def _fetch_summary(self, now: float) -> None:
+        entries, _ = await self.store.list(records.SUMMARY_PREFIX)
+        values = {
+            entry.key[len(records.SUMMARY_PREFIX):].replace("*", ""): entry.data
+            for entry in entries
+        }  # fmt: skip
+        self._read_summary(values, now)
+
+    async def _booking_loop(self) -> None:
+        """At most one write of holds a second."""
+        last = -1e9
+        while True:
+            await curio.ignore_after(1.0, self.booking.wake.wait)
+            self.booking.wake.clear()
+            now = await curio.clock()
+            if now - last < 1.0:
+                await curio.sleep(1.0 - (now - last))
+            last = await curio.clock()
+            permit = self.permit
+            if permit is None:
+                continue
+            try:
+                await self._book(permit, last)
+            except TROUBLE as exc:
+                log.debug("booking: %s", exc)
+
+    async def _book(self, permit: int, now: float) -> None:
+        reign = self.reign
+        booking = self.booking
+        if reign is not None:
+            if not reign.loaded:
+                return
+            self._wanted_of_queen(reign, now)
+            view = reign.view(now) if booking.wanted else self.view
+        else:
+            view = self.view
+            if now - view.at > self.operator.summary_s:
+                await self._fetch_summary(now)
+            await self._wanted_of_follower(now)
+            if booking.wanted:
+                await booking.read_book()
+        booking.round(view, now)
+        if await booking.write(permit) and reign is not None:
+            await reign.stir()
+
+    def _wanted_of_queen(self, reign: Reign, now: float) -> None:
+        """Her own gangs, and those whose controller is gone or finds nothing."""
+        wanted = self.booking.wanted
+        waiting = {job.id: job for job in reign.realm.waiting_gangs(now)}
+        for job_id in list(wanted):
+            if job_id not in waiting:
+                self.booking.forget(job_id)
+        for job in waiting.values():
+            alone = job.node != self.name and job.node in self.book.marks
+            since = max(job.gang_since, reign.realm.since)
+            if alone and now - since < self.operator.summary_s:
+                continue
+            if alone and not reign.realm.needs_hold(job):
+                continue
+            wanted[job.id] = Wanted(job.spec, reign.realm.rank(job), job.arrived)
+            hold = self.booking.mine.get(job.id)
+            if hold is not None and reign.realm.rejected.get(job.id) == hold.serial:
+                del self.booking.mine[job.id]
+
+    async def _wanted_of_follower(self, now: float) -> None:
+        """Gangs accepted here that the queen still lists as waiting."""
+        booking = self.booking
+        waiting = self.view.waiting
+        for job_id, wanted in list(booking.wanted.items()):
+            told = waiting.get(job_id)
+            if told is None:
+                if now - wanted.since > 2 * self.operator.summary_s:
+                    booking.forget(job_id)
+            else:
+                wanted.rank = told[1]
+                if told[2]:
+                    hold = booking.mine.get(job_id)
+                    if hold is not None and time.time() - hold.made > self.operator.summary_s:
+                        del booking.mine[job_id]  # refused, or used up
+        for job_id, (node, rank, _) in waiting.items():
+            if node == self.name and job_id not in booking.wanted:
+                spec = await self._read_spec(job_id)
+                if spec is not None:
+                    booking.wanted[job_id] = Wanted(spec, rank, now)
+
+    async def _read_spec(self, job_id: str) -> JobSpec | None:
+        entry = await self.store.get(records.live_key(job_id), DECISIONS)
+        if entry is None:
+            return None
+        try:
+            return records.read_live(entry.data, entry.mark, time.time(), 0.0).spec
+        except (BadMessage, ValueError):
+            return None
+
+    # -- the catalog -------------------------------------------------------------
+
+    async def _catalog_loop(self) -> None:
+        while True:
+            try:
+                breeds = await self.cloud.catalog()
+                self.breeds.update({breed.label: breed for breed in breeds})
+                await curio.sleep(CATALOG_REPORTS * self.report_s)
+            except CloudDown as exc:
+                log.debug("catalog: %s", exc)
+                await curio.sleep(max(1.0, 0.5 * self.report_s))
--- /dev/null
+++ b/topazhold/control/store.py
@@ -0,0 +1,221 @@
+"""The state service: reads, conditional transactions, grants, watches."""
+
+from __future__ import annotations
+
+import logging
+from typing import Any
+
+import curio
+
+from topazhold.io.http import Client, NoAnswer, NotSent
+from topazhold.io.rate import Bucket
+from topazhold.wire import messages as wire
+from topazhold.wire.codec import BadMessage, read
+from topazhold.wire.messages import Entry
+
+log = logging.getLogger(__name__)
+
+#: Shares of the request limit that lower ranks must leave to higher ones.
+LEASES = 0.0
+DECISIONS = 0.1
+USERS = 0.3
+
+PAGE = 500
+
+
+class StoreDown(Exception):
+    """Not carried out: refused, over the limit, or out of reach."""
+
+
+class StoreUnknown(Exception):
+    """No answer: the change may have been, or may yet be, carried out."""
+
+
+class Conflict(Exception):
+    """A guard failed; `keys` are the guarded keys that had changed."""
+
+    def __init__(self, keys: list[str]) -> None:
+        super().__init__(", ".join(keys))
+        self.keys = keys
+
+
+class WatchLost(Exception):
+    """The history does not go back that far; read the keys again."""
+
+
+class Store:
+    """One controller's access, within its share of the service's limits."""
+
+    def __init__(
+        self, address: tuple[str, int], rps: float, write_rps: float, timeout_s: float
+    ) -> None:
+        self._client = Client(address, keep=6)
+        self._watching = Client(address, keep=4)
+        self._rps = rps
+        self._write_rps = write_rps
+        self._reads = Bucket(rps)
+        self._writes = Bucket(write_rps)
+        self._timeout_s = timeout_s
+        self.answered_at = 0.0  # when the service last carried something out
+        self.failing_since: float | None = None
+
+    def set_share(self, share: float) -> None:
+        """This node's share of the limits."""
+        self._reads.set_rate(self._rps * share)
+        self._writes.set_rate(self._write_rps * share)
+
+    async def wait_s(self, rank: float, writes: int) -> float:
+        """How long until the limits allow a request."""
+        now = await curio.clock()
+        return max(self._reads.wait_s(now, 1, rank), self._writes.wait_s(now, writes, rank))
+
+    async def _ask(
+        self, method: str, target: str, message: Any, rank: float, writes: int = 0,
+        timeout_s: float | None = None, client: Client | None = None,
+    ) -> tuple[int, bytes]:  # fmt: skip
+        now = await curio.clock()
+        if not self._reads.take(now, 1, rank):
+            raise StoreDown("request limit")
+        if writes and not self._writes.take(now, writes, rank):
+            raise StoreDown("write limit")
+        try:
+            status, body = await (client or self._client).ask(
+                method, target, message, timeout_s or self._timeout_s
+            )
+        except NotSent as exc:
+            self._failed(now)
+            raise StoreDown(str(exc)) from None
+        except NoAnswer as exc:
+            self._failed(now)
+            raise StoreUnknown(str(exc)) from None
+        if status in (429, 503):
+            if status == 503:
+                self._failed(now)
+            raise StoreDown(f"status {status}")
+        self.answered_at = await curio.clock()
+        self.failing_since = None
+        return status, body
+
+    def _failed(self, now: float) -> None:
+        if self.failing_since is None:
+            self.failing_since = now
+
+    async def get(self, key: str, rank: float = USERS) -> Entry | None:
+        status, body = await self._ask("GET", f"{wire.STORE_PATH}/{key}", None, rank)
+        if status == 404:
+            return None
+        if status != 200:
+            raise StoreDown(f"status {status}")
+        return read(body, Entry)
+
+    async def list(self, prefix: str, rank: float = DECISIONS) -> tuple[list[Entry], int]:
+        """All entries under a prefix, and the revision of the first page."""
+        entries: list[Entry] = []
+        after: str | None = None
+        harvest: int | None = None
+        while True:
+            target = wire.store_query(prefix, after, PAGE)
+            status, body = await self._ask("GET", target, None, rank)
+            if status != 200:
+                raise StoreDown(f"status {status}")
+            page = read(body, wire.EntryPage)
+            harvest = page.harvest if harvest is None else harvest
+            entries += page.entries
+            if not page.truncated or not page.entries:
+                return entries, harvest
+            after = page.entries[-1].key
+
+    async def multi(
+        self, guards: list[tuple[str, int]], then: list[dict[str, Any]], rank: float
+    ) -> int:
+        """One transaction; the new revision. Raises Conflict."""
+        body = wire.multi_body([wire.guard(key, mark) for key, mark in guards], then)
+        status, answer = await self._ask("POST", wire.MULTI_PATH, body, rank, writes=len(then))
+        if status == 200:
+            return read(answer, wire.Committed).harvest
+        if status == 409:
+            raise Conflict(read(answer, wire.Committed).failed)
+        log.error("state service answered %d to a transaction: %r", status, answer[:200])
+        raise StoreDown(f"status {status}")
+
+    async def commit(
+        self, guards: list[tuple[str, int]], then: list[dict[str, Any]], rank: float,
+        probe: str, token: str, give_up_s: float,
+    ) -> int:  # fmt: skip
+        """A transaction whose outcome is found out.
+
+        `probe` is a key that it puts with `token` in its value, guarded like
+        all keys it changes, so that of two copies at most one is carried out.
+        Raises Conflict, StoreDown (nothing was done), or StoreUnknown when the
+        outcome stays open for `give_up_s`.
+        """
+        unknown = False
+        start = await curio.clock()
+        while True:
+            try:
+                return await self.multi(guards, then, rank)
+            except Conflict:
+                if not unknown:
+                    raise
+                entry = await self._probe(probe, start, give_up_s)
+                if entry is not None and _token(entry) == token:
+                    return entry.mark
+                raise
+            except StoreUnknown:
+                unknown = True
+            except StoreDown:
+                if not unknown:
+                    raise
+            if await curio.clock() - start > give_up_s:
+                raise StoreUnknown("outcome open")
+            await curio.sleep(min(0.25, give_up_s / 8))
+
+    async def _probe(self, key: str, start: float, give_up_s: float) -> Entry | None:
+        while True:
+            try:
+                return await self.get(key, LEASES)
+            except (StoreDown, StoreUnknown):
+                if await curio.clock() - start > give_up_s:
+                    raise StoreUnknown("outcome open") from None
+                await curio.sleep(0.1)
+
+    async def grant(self, ttl_s: float) -> int:
+        body = wire.grant_body(int(ttl_s * 1000))
+        status, answer = await self._ask("POST", wire.GRANTS_PATH, body, LEASES)
+        if status != 200:
+            raise StoreDown(f"status {status}")
+        return read(answer, wire.Granted).permit
+
+    async def touch(self, permit: int) -> bool:
+        """Renew a grant; False if it has ended."""
+        target = f"{wire.GRANTS_PATH}/{permit}{wire.TOUCH_END}"
+        status, _ = await self._ask("POST", target, {}, LEASES)
+        if status == 404:
+            return False
+        if status != 200:
+            raise StoreDown(f"status {status}")
+        return True
+
+    async def end_grant(self, permit: int) -> None:
+        await self._ask("DELETE", f"{wire.GRANTS_PATH}/{permit}", None, LEASES)
+
+    async def watch(self, prefix: str, since: int, block_s: float) -> wire.WatchPage:
+        """Changes under a prefix after a revision; waits for one."""
+        target = wire.watch_query(prefix, since, int(block_s * 1000))
+        status, body = await self._ask(
+            "GET", target, None, LEASES, timeout_s=block_s + self._timeout_s,
+            client=self._watching,
+        )  # fmt: skip
+        if status == 410:
+            raise WatchLost(prefix)
+        if status != 200:
+            raise StoreDown(f"status {status}")
+        return read(body, wire.WatchPage)
+
+
+def _token(entry: Entry) -> Any:
+    return entry.data.get("by") if isinstance(entry.data, dict) else None
+
+
+#: What a caller has to expect of any request to the store.
+TROUBLE = (StoreDown, StoreUnknown, BadMessage)
--- /dev/null
+++ b/topazhold/control/users.py
@@ -0,0 +1,208 @@
+"""The users' interface: submit, poll, cancel."""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections import OrderedDict
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import curio
+import msgspec
+
+from topazhold.control.store import TROUBLE, USERS, Conflict, Store, StoreUnknown
+from topazhold.core import records, renting
+from topazhold.core.jobs import Job
+from topazhold.core.quota import team_limit_allows
+from topazhold.io.http import Answer, Request
+from topazhold.settings import Settings, Team
+from topazhold.wire import messages as wire
+from topazhold.wire.codec import BadMessage, convert, json_size, unpack
+from topazhold.wire.messages import Breed, JobSpec
+
+log = logging.getLogger(__name__)
+
+#: Final answers kept in memory.
+MOST_FINAL = 5000
+#: User requests under way at once; what comes on top is refused at once.
+MOST_AT_ONCE = 24
+#: How long an open outcome is looked into; users wait 5 s for a submission.
+OUTCOME_S = 3.0
+#: Retry-After while the state service is out of reach.
+OUTAGE_RETRY_S = 2.0
+
+
+class Users:
+    """Answers users' requests on any controller."""
+
+    def __init__(
+        self, settings: Settings, store: Store, breeds: dict[str, Breed],
+        accepted: Callable[[Job], Awaitable[None]], running: Callable[[str], int],
+    ) -> None:  # fmt: skip
+        self._node = settings.node_name
+        self._teams = {team.name: team for team in settings.cluster.teams}
+        self._value_limit = int(settings.cluster.state.value_kb * 1024)
+        self._store = store
+        self._breeds = breeds
+        self._accepted = accepted
+        self._running = running
+        self._final: OrderedDict[str, str] = OrderedDict()
+        self._busy = 0
+        self._sequence = 0
+        self._boot = f"{self._node}-{time.time_ns():x}"
+
+    async def handle(self, request: Request) -> Answer | None:
+        """The answer to a users' request, or None if the path is not theirs."""
+        path = request.path
+        if path != wire.JOBS_PATH and not path.startswith(wire.JOBS_PATH + "/"):
+            return None
+        rest = path[len(wire.JOBS_PATH) + 1:]
+        cancel = rest.endswith(wire.CANCEL_END)
+        job = rest[: -len(wire.CANCEL_END)] if cancel else rest
+        wanted = "POST" if cancel or not rest else "GET"
+        if "/" in job:
+            return Answer(404)
+        if request.method != wanted:
+            return Answer(405)
+        if rest and not wire.valid_job_id(job):
+            return Answer(404)
+        if self._busy >= MOST_AT_ONCE:
+            return Answer(503, retry_after=await self._busy_wait())
+        self._busy += 1
+        try:
+            if not rest:
+                return await self._submit(request.body)
+            return await (self._cancel(job) if cancel else self._poll(job))
+        except StoreUnknown:
+            return Answer(504, retry_after=OUTAGE_RETRY_S)
+        except TROUBLE as exc:
+            log.debug("request refused: %s", exc)
+            return Answer(503, retry_after=await self._busy_wait())
+        finally:
+            self._busy -= 1
+
+    async def _busy_wait(self) -> float:
+        """When to come back: after an outage's pause, or when the limits allow."""
+        if self._store.failing_since is not None:
+            return OUTAGE_RETRY_S
+        return max(1.0, await self._store.wait_s(USERS, 1))
+
+    def _token(self) -> str:
+        self._sequence += 1
+        return f"{self._boot}-{self._sequence}"
+
+    def _keep_final(self, job: str, stage: str) -> None:
+        self._final[job] = stage
+        if len(self._final) > MOST_FINAL:
+            self._final.popitem(last=False)
+
+    # -- submit ------------------------------------------------------------
+
+    async def _submit(self, body: bytes) -> Answer:
+        try:
+            raw = unpack(body)
+        except BadMessage:
+            return Answer(400)
+        job_id = raw.get("id") if isinstance(raw, dict) else None
+        if not isinstance(job_id, str) or not wire.valid_job_id(job_id):
+            return Answer(400)
+        status, spec = self._judge(raw)
+        if status != 201 or spec is None:
+            # A repeat of an accepted job is answered with its state, whatever
+            # its body would get now.
+            known = await self._state(job_id)
+            return known or Answer(status, retry_after=1.0 if status == 503 else None)
+        job = Job(spec, await curio.clock(), time.time(), self._node)
+        token = self._token()
+        value = records.live_value(job, token)
+        if json_size(value) > self._value_limit:
+            return Answer(400)
+        key = records.live_key(job_id)
+        guards = [(key, 0), (records.over_key(job_id), 0)]
+        try:
+            job.mark = await self._store.commit(
+                guards, [wire.put(key, value)], USERS, key, token, OUTCOME_S
+            )
+        except Conflict:
+            known = await self._state(job_id)
+            return known or Answer(503, retry_after=1.0)
+        log.info("job %s accepted: %s %s of %d", job_id, spec.urgency, spec.shape, spec.frames)
+        await self._accepted(job)
+        return Answer(201, wire.job_answer(job_id, wire.PENDING))
+
+    def _judge(self, raw: dict[str, Any]) -> tuple[int, JobSpec | None]:
+        """The status that a new job would get."""
+        try:
+            spec = convert(raw, JobSpec)
+        except BadMessage:
+            return 400, None
+        if spec.fault() is not None:
+            return 400, None
+        if not self._breeds:
+            return 503, None
+        if spec.breeds is not None:
+            # Types that the cloud does not have can't be used; this bounds the list.
+            known = sorted(set(spec.breeds) & self._breeds.keys())
+            spec = msgspec.structs.replace(spec, breeds=known)
+        team = self._teams.get(spec.crew)
+        if team is None or not self._team_takes(team, spec):
+            return 422, None
+        if not renting.fits_some_type(spec, self._breeds.values()):
+            return 422, None
+        return 201, spec
+
+    @staticmethod
+    def _team_takes(team: Team, spec: JobSpec) -> bool:
+        tasks = spec.frames if spec.gang else 1
+        return team_limit_allows(team, spec.vcpus * tasks, spec.cards * tasks)
+
+    # -- poll --------------------------------------------------------------
+
+    async def _state(self, job_id: str) -> Answer | None:
+        """The job's present answer, or None if nobody submitted it."""
+        final = self._final.get(job_id)
+        if final is not None:
+            return Answer(200, wire.job_answer(job_id, final))
+        entry = await self._store.get(records.live_key(job_id))
+        if entry is not None:
+            running = self._running(job_id)
+            stage = wire.RUNNING if running else wire.PENDING
+            done = int(entry.data.get("count", 0))
+            return Answer(200, wire.job_answer(job_id, stage, done, running))
+        # Jobs move from live to over in one transaction, so this order
+        # can't miss one.
+        entry = await self._store.get(records.over_key(job_id))
+        if entry is None:
+            return None
+        stage = records.over_stage(entry.data)
+        self._keep_final(job_id, stage)
+        return Answer(200, wire.job_answer(job_id, stage))
+
+    async def _poll(self, job_id: str) -> Answer:
+        return await self._state(job_id) or Answer(404)
+
+    # -- cancel ------------------------------------------------------------
+
+    async def _cancel(self, job_id: str) -> Answer:
+        final = self._final.get(job_id)
+        if final is not None:
+            return Answer(200, wire.job_answer(job_id, final))
+        live, over = records.live_key(job_id), records.over_key(job_id)
+        for _ in range(8):
+            entry = await self._store.get(live)
+            if entry is None:
+                return await self._poll(job_id)
+            token = self._token()
+            value = records.over_value(entry.data["spec"], wire.ABORTED, time.time(), token)
+            try:
+                await self._store.commit(
+                    [(live, entry.mark), (over, 0)], [wire.drop(live), wire.put(over, value)],
+                    USERS, over, token, OUTCOME_S,
+                )  # fmt: skip
+            except Conflict:
+                continue  # the queen saved progress, or another cancel came first
+            self._keep_final(job_id, wire.ABORTED)
+            log.info("job %s aborted by its user", job_id)
+            return Answer(200, wire.job_answer(job_id, wire.ABORTED))
+        return Answer(503, retry_after=1.0)
--- /dev/null
+++ b/topazhold/core/__init__.py
@@ -0,0 +1,1 @@
+"""The scheduler itself: no I/O, no clock, no global randomness."""
--- /dev/null
+++ b/topazhold/core/jobs.py
@@ -0,0 +1,283 @@
+"""Jobs, and the runs of their tasks on machines, as explicit state machines."""
+
+from __future__ import annotations
+
+import base64
+import heapq
+from collections.abc import Iterator
+from enum import Enum
+
+from topazhold.wire import messages as wire
+from topazhold.wire.messages import JobSpec
+
+#: Tasks whose done marks share one value of the state service.
+PART = 4096
+
+Room = tuple[float, float, float]
+
+
+class RunState(Enum):
+    """Where one attempt of one task stands."""
+
+    INTENDED = "intended"  # planned; the intent may not be written yet
+    WRITTEN = "written"  # the intent is in the state service
+    ORDERED = "ordered"  # the launch went out in a report's answer
+    PULLING = "pulling"
+    GATHERING = "gathering"
+    RUNNING = "running"
+    FLUSHING = "flushing"
+    ENDED = "ended"  # reported as ended, not cleared yet
+    GONE = "gone"  # proven not to be on its machine
+
+
+class GangState(Enum):
+    """Where a gang as a whole stands."""
+
+    WAITING = "waiting"
+    STARTING = "starting"
+    RUNNING = "running"
+    STOPPING = "stopping"
+
+
+class JobState(Enum):
+    LIVE = "live"
+    DONE = "done"
+    ABORTED = "aborted"
+
+
+_OBSERVED = {
+    wire.PULLING: RunState.PULLING,
+    wire.GATHERING: RunState.GATHERING,
+    wire.RUNNING: RunState.RUNNING,
+    wire.FLUSHING: RunState.FLUSHING,
+}
+
+#: States in which the worker is known to have the task.
+ON_MACHINE = frozenset(_OBSERVED.values())
+#: States in which no launch has left this node, so dropping the run is safe.
+UNSENT = frozenset((RunState.INTENDED, RunState.WRITTEN))
+
+
+class Run:
+    """One attempt of one task on one machine."""
+
+    __slots__ = (
+        "job", "index", "attempt", "machine", "flight", "state", "since",
+        "ordered_tally", "running_since", "stop_settle", "stop_at", "stop_why",
+        "unsure", "cause", "kept", "frame",
+    )  # fmt: skip
+
+    def __init__(self, job: Job, index: int, attempt: int, machine: str, now: float) -> None:
+        self.job = job
+        self.index = index
+        self.attempt = attempt
+        self.machine = machine
+        self.frame = wire.frame_name(job.id, index)
+        self.flight = 0
+        self.state = RunState.INTENDED
+        self.since = now
+        self.ordered_tally = -1
+        self.running_since: float | None = None
+        self.stop_settle: float | None = None
+        self.stop_at = 0.0
+        self.stop_why = ""
+        self.unsure = False
+        self.cause: str | None = None
+        self.kept = False
+
+    def _enter(self, state: RunState, now: float) -> None:
+        if state is not self.state:
+            self.state = state
+            self.since = now
+
+    def written(self, now: float) -> None:
+        """The intent is committed."""
+        assert self.state is RunState.INTENDED
+        self._enter(RunState.WRITTEN, now)
+
+    def order(self, tally: int, now: float) -> None:
+        """The launch goes out in the answer to report `tally`."""
+        assert self.state is RunState.WRITTEN
+        self.ordered_tally = tally
+        self._enter(RunState.ORDERED, now)
+
+    def order_lost(self, now: float) -> None:
+        """A newer report lacks the task: that answer was dropped for good."""
+        assert self.state is RunState.ORDERED
+        self._enter(RunState.WRITTEN, now)
+
+    def observe(self, stage: str, now: float) -> None:
+        """The worker reports the task in `stage`."""
+        state = _OBSERVED.get(stage)
+        if state is None or self.state in (RunState.ENDED, RunState.GONE):
+            return
+        self.unsure = False
+        if state is RunState.RUNNING and self.running_since is None:
+            self.running_since = now
+        self._enter(state, now)
+
+    def end(self, cause: str, kept: bool, now: float) -> None:
+        """The worker reports that the task has ended."""
+        self.unsure = False
+        self.cause = cause
+        self.kept = kept
+        self._enter(RunState.ENDED, now)
+
+    def vanish(self, now: float) -> None:
+        """It is proven that the task is not on its machine and won't be."""
+        self._enter(RunState.GONE, now)
+
+    def stop(self, settle_s: float, why: str, now: float) -> None:
+        """Ask for a stop; a later call can only shorten the grace."""
+        if self.stop_settle is None:
+            self.stop_at = now
+            self.stop_why = why
+            self.stop_settle = settle_s
+        else:
+            self.stop_settle = min(self.stop_settle, settle_s)
+
+    @property
+    def stopping(self) -> bool:
+        return self.stop_settle is not None
+
+    @property
+    def present(self) -> bool:
+        """Whether it counts against room, quota and place."""
+        return self.state not in (RunState.ENDED, RunState.GONE)
+
+
+class Job:
+    """An accepted job with its tasks' progress."""
+
+    def __init__(self, spec: JobSpec, arrived: float, submitted: float, node: str) -> None:
+        self.spec = spec
+        self.id = spec.id
+        self.arrived = arrived  # on the local steady clock
+        self.submitted = submitted  # time of day
+        self.node = node
+        self.mark = 0
+        self.state = JobState.LIVE
+        self.need: Room = (spec.vcpus, spec.cards, spec.ram_gb)
+        self.level = wire.URGENCIES.index(spec.urgency)
+        self.within = False
+        self.runs: dict[int, Run] = {}
+        self.done = bytearray(spec.frames)
+        self.done_count = 0
+        self.unsaved: set[int] = set()  # parts with marks not yet saved
+        self.saved_at = arrived
+        self.fresh = 0  # no task from here on was ever placed
+        self.again: list[int] = []
+        self.gang_state = GangState.WAITING
+        self.gang_since = arrived
+        self.progress_s = 0.0
+        self.failed_on: dict[str, float] = {}
+        self.not_before = 0.0
+        self.cancelled_at: float | None = None
+        self.used_hold = 0
+
+    # -- tasks -----------------------------------------------------------
+
+    @property
+    def gang(self) -> bool:
+        return self.spec.gang
+
+    @property
+    def waiting_count(self) -> int:
+        """Tasks that are neither done nor on a machine."""
+        return self.spec.frames - self.done_count - len(self.runs)
+
+    def running_count(self) -> int:
+        return sum(1 for run in self.runs.values() if run.state is RunState.RUNNING)
+
+    def waiting_tasks(self) -> Iterator[int]:
+        """Tasks to place, lowest first; each is taken off as it is yielded."""
+        while self.again:
+            index = heapq.heappop(self.again)
+            if not self.done[index] and index not in self.runs:
+                yield index
+        while self.fresh < self.spec.frames:
+            index = self.fresh
+            self.fresh += 1
+            if not self.done[index] and index not in self.runs:
+                yield index
+
+    def place_again(self, index: int) -> None:
+        """Queue a task that was taken off the queue."""
+        if index < self.fresh and not self.done[index]:
+            heapq.heappush(self.again, index)
+
+    def add_run(self, run: Run) -> None:
+        self.runs[run.index] = run
+
+    def remove_run(self, run: Run) -> None:
+        """Forget a run that has ended or is proven gone."""
+        if self.runs.get(run.index) is run:
+            del self.runs[run.index]
+            if self.state is JobState.LIVE:
+                self.place_again(run.index)
+
+    def mark_done(self, index: int) -> None:
+        if not self.done[index]:
+            self.done[index] = 1
+            self.done_count += 1
+            self.unsaved.add(index // PART)
+
+    @property
+    def complete(self) -> bool:
+        return self.done_count == self.spec.frames
+
+    def zones_used(self, zone_of: dict[str, str]) -> dict[str, int]:
+        """Present tasks per zone; machines unknown by now count under ''."""
+        zones: dict[str, int] = {}
+        for run in self.runs.values():
+            if run.present:
+                zone = zone_of.get(run.machine, "")
+                zones[zone] = zones.get(zone, 0) + 1
+        return zones
+
+    # -- changes of state ------------------------------------------------
+
+    def finish(self) -> None:
+        assert self.state is JobState.LIVE
+        self.state = JobState.DONE
+
+    def abort(self, cancelled_at: float) -> None:
+        self.state = JobState.ABORTED
+        self.cancelled_at = cancelled_at
+
+    def enter_gang_state(self, state: GangState, now: float) -> None:
+        if state is not self.gang_state:
+            self.gang_state = state
+            self.gang_since = now
+
+    # -- the saved form --------------------------------------------------
+
+    def part_text(self, part: int) -> str:
+        """Done marks of one part; text, since the interface has no binary data."""
+        marks = self.done[part * PART : (part + 1) * PART]
+        return _marks_to_text(marks)
+
+    def load_part(self, part: int, text: str) -> None:
+        for offset in _text_to_marks(text):
+            index = part * PART + offset
+            if index < self.spec.frames and not self.done[index]:
+                self.done[index] = 1
+                self.done_count += 1
+
+
+def _marks_to_text(marks: bytearray) -> str:
+    if not any(marks):
+        return ""
+    bits = 0
+    for offset, mark in enumerate(marks):
+        if mark:
+            bits |= 1 << offset
+    return base64.b64encode(bits.to_bytes((len(marks) + 7) // 8, "little")).decode("ascii")
+
+
+def _text_to_marks(text: str) -> Iterator[int]:
+    bits = int.from_bytes(base64.b64decode(text), "little")
+    while bits:
+        low = bits & -bits
+        yield low.bit_length() - 1
+        bits ^= low
--- /dev/null
+++ b/topazhold/core/machines.py
@@ -0,0 +1,172 @@
+"""Machines: what they hold, what room they have, what is known of them."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from enum import Enum
+
+from topazhold.core.jobs import ON_MACHINE, Room, Run, RunState
+from topazhold.wire.messages import Breed
+
+#: Amounts closer than this are equal; sums of decimal fractions drift.
+SLACK = 1e-6
+
+
+class MachineState(Enum):
+    STARTING = "starting"  # rented, its worker has not reported
+    UNSYNCED = "unsynced"  # heard of, but not yet under this reign's crown
+    READY = "ready"
+    DRAINING = "draining"  # takes no new work: notice, fault or return
+    RELEASING = "releasing"  # release asked; nothing may be launched any more
+    GONE = "gone"
+
+
+class Machine:
+    """One rented machine."""
+
+    def __init__(self, name: str, zone: str, spot: bool, breed: Breed | None, now: float) -> None:
+        self.name = name
+        self.zone = zone
+        self.spot = spot
+        self.breed = breed
+        self.state = MachineState.STARTING
+        self.since = now
+        self.rented_at = now
+        self.endpoint: str | None = None
+        self.flight = 0
+        self.tally = -1
+        self.crown = 0
+        self.heard_at: float | None = None
+        self.gone_at: float | None = None  # end announced by a notice
+        self.runs: dict[tuple[str, int], Run] = {}
+        self.used: Room = (0.0, 0.0, 0.0)
+        self.strays: dict[tuple[str, int], str] = {}  # (frame, try) -> stage; of no job known here
+        self.images: OrderedDict[str, float] = OrderedDict()
+        self.error_jobs: set[str] = set()
+        self.sick_until = 0.0
+        self.on_mark = 0
+        self.idle_since = now
+        self.listed_at: float | None = None  # request time of the newest list that had it
+        self.unlisted = 0  # lists in a row, asked for after it fell silent, without it
+        self.why = ""
+        self.speed = 1.0
+
+    # -- changes of state ------------------------------------------------
+
+    def _enter(self, state: MachineState, now: float) -> None:
+        if state is not self.state:
+            self.state = state
+            self.since = now
+
+    def hear(self, synced: bool, now: float) -> None:
+        """A report arrived; `synced`: it was written under this reign's crown."""
+        self.heard_at = now
+        self.unlisted = 0
+        if self.state is MachineState.STARTING:
+            self._enter(MachineState.UNSYNCED, now)
+            self.idle_since = now
+        if synced and self.state is MachineState.UNSYNCED:
+            self._enter(MachineState.READY, now)
+
+    def drain(self, why: str, now: float) -> None:
+        """Take no new work."""
+        if self.state in (MachineState.UNSYNCED, MachineState.READY):
+            self.why = why
+            self._enter(MachineState.DRAINING, now)
+
+    def recover(self, now: float) -> None:
+        """The reason for draining is over."""
+        if self.state is MachineState.DRAINING:
+            self.why = ""
+            self._enter(MachineState.READY, now)
+
+    def release(self, why: str, now: float) -> None:
+        """The release is about to be asked for; no way back."""
+        if self.state is not MachineState.GONE:
+            self.why = why
+            self._enter(MachineState.RELEASING, now)
+
+    def leave(self, now: float) -> None:
+        """It is proven that the machine and everything on it are gone."""
+        self._enter(MachineState.GONE, now)
+
+    # -- room ------------------------------------------------------------
+
+    @property
+    def total(self) -> Room:
+        if self.breed is None:
+            return (0.0, 0.0, 0.0)
+        return (self.breed.vcpus, self.breed.cards, self.breed.ram_gb)
+
+    def attach(self, run: Run) -> None:
+        """A run is, or may come to be, on the machine."""
+        self.runs[(run.job.id, run.index)] = run
+        self.used = plus(self.used, run.job.need)
+
+    def detach(self, run: Run) -> bool:
+        """A run is not here any more; whether it was."""
+        key = (run.job.id, run.index)
+        if self.runs.get(key) is not run:
+            return False
+        del self.runs[key]
+        # Sums drift; an empty machine is exactly empty again.
+        self.used = plus(self.used, run.job.need, -1.0) if self.runs else (0.0, 0.0, 0.0)
+        return True
+
+    def free(self) -> Room:
+        """Room that nothing on the machine, or on its way there, takes."""
+        return plus(self.total, self.used, -1.0)
+
+    @property
+    def empty(self) -> bool:
+        return not self.strays and not self.runs
+
+    # -- images ----------------------------------------------------------
+
+    def has_image(self, comb: str) -> bool:
+        return comb in self.images
+
+    def fetched(self, comb: str, size_gb: float) -> None:
+        """Keep the least recently used images out, as the worker does."""
+        self.images[comb] = size_gb
+        self.images.move_to_end(comb)
+        room = self.breed.local_gb if self.breed else 0.0
+        total = sum(self.images.values())
+        while total > room and len(self.images) > 1:
+            _, size = self.images.popitem(last=False)
+            total -= size
+
+    def fetch_s(self, comb: str, size_gb: float) -> float:
+        """Expected time until the image is there, other fetches included."""
+        if comb in self.images or self.breed is None:
+            return 0.0
+        queue = {comb: size_gb}
+        for run in self.runs.values():
+            if run.present and run.state not in ON_MACHINE - {RunState.PULLING}:
+                spec = run.job.spec
+                if spec.comb not in self.images:
+                    queue.setdefault(spec.comb, spec.image_gb)
+        return sum(queue.values()) / self.breed.fetch_gb_per_s
+
+
+def fits(need: Room, room: Room) -> bool:
+    return (
+        need[0] <= room[0] + SLACK and need[1] <= room[1] + SLACK and need[2] <= room[2] + SLACK
+    )
+
+
+def times_fits(need: Room, room: Room, most: int) -> int:
+    """How many tasks of this size the room takes, up to `most`."""
+    count = float(most)
+    for part, whole in zip(need, room, strict=True):
+        if part > SLACK:
+            count = min(count, (whole + SLACK) // part)
+    return max(0, int(count))
+
+
+def plus(room: Room, other: Room, factor: float = 1.0) -> Room:
+    return (
+        room[0] + other[0] * factor,
+        room[1] + other[1] * factor,
+        room[2] + other[2] * factor,
+    )
--- /dev/null
+++ b/topazhold/core/preemption.py
@@ -0,0 +1,55 @@
+"""Who may be stopped for whom, and whom it costs least to stop."""
+
+from __future__ import annotations
+
+from topazhold.core.jobs import GangState, Job, Room, Run, RunState
+from topazhold.core.machines import Machine, fits, plus
+from topazhold.core.quota import Usage
+
+
+def may_stop(job: Job, victim: Job, usage: Usage) -> bool:
+    """Higher priority, or a guarantee against what another team borrows."""
+    if victim.level > job.level:
+        return True
+    return (
+        job.within
+        and not victim.within
+        and victim.spec.crew != job.spec.crew
+        and usage.beyond_guarantee(victim.spec.crew)
+    )
+
+
+def loss(run: Run, now: float) -> float:
+    """Seconds of work, over all tasks told to stop with it, that a stop costs."""
+    job = run.job
+    tasks = len(job.runs) if job.gang else 1
+    elapsed = now - run.running_since if run.running_since is not None else 0.0
+    lost = job.spec.seal_s if job.spec.cap_s > 0 else elapsed
+    return (lost + 1.0) * tasks + 10.0 * (3 - job.level)
+
+
+def victims(
+    machine: Machine, need: Room, job: Job, usage: Usage, held: Room, now: float
+) -> list[Run] | None:
+    """Runs to stop so that `need` fits; [] if it will fit anyhow, None if it can't."""
+    room = plus(machine.free(), held, -1.0)
+    candidates: list[Run] = []
+    for run in machine.runs.values():
+        if not run.present:
+            continue
+        if run.stopping:
+            room = plus(room, run.job.need)
+        elif may_stop(job, run.job, usage) and run.job is not job:
+            if run.job.gang and run.job.gang_state is GangState.STARTING:
+                continue  # it has not begun to run; its own clock decides first
+            if run.state is not RunState.INTENDED:
+                candidates.append(run)
+    if fits(need, room):
+        return []
+    chosen: list[Run] = []
+    for run in sorted(candidates, key=lambda run: loss(run, now)):
+        chosen.append(run)
+        room = plus(room, run.job.need)
+        if fits(need, room):
+            return chosen
+    return None
--- /dev/null
+++ b/topazhold/core/quota.py
@@ -0,0 +1,79 @@
+"""What teams use, may use and are guaranteed."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from topazhold.core.jobs import Job
+from topazhold.core.machines import SLACK
+from topazhold.settings import Team
+
+
+def team_limit_allows(team: Team, vcpus: float, cards: float) -> bool:
+    """Whether so much may be in use at once; a limit of 0 means none."""
+    if team.cpus_max and vcpus > team.cpus_max + SLACK:
+        return False
+    return not team.gpus_max or cards <= team.gpus_max + SLACK
+
+
+class Usage:
+    """Counts, per team, what every run takes from its intent until it is gone."""
+
+    def __init__(self, teams: Iterable[Team]) -> None:
+        self.teams = {team.name: team for team in teams}
+        self._used: dict[str, list[float]] = {name: [0.0, 0.0] for name in self.teams}
+
+    def add(self, job: Job, count: int = 1) -> None:
+        used = self._used.setdefault(job.spec.crew, [0.0, 0.0])
+        used[0] += job.need[0] * count
+        used[1] += job.need[1] * count
+
+    def remove(self, job: Job, count: int = 1) -> None:
+        self.add(job, -count)
+
+    def allows(self, job: Job, count: int = 1) -> bool:
+        """Whether `count` more tasks of the job stay within its team's limit."""
+        team = self.teams.get(job.spec.crew)
+        if team is None:
+            return False
+        used = self._used[team.name]
+        return team_limit_allows(
+            team, used[0] + job.need[0] * count, used[1] + job.need[1] * count
+        )
+
+    def beyond_guarantee(self, crew: str) -> bool:
+        """Whether the team borrows."""
+        team = self.teams.get(crew)
+        used = self._used.get(crew)
+        if team is None or used is None:
+            return True
+        for least, amount in ((team.cpus, used[0]), (team.gpus, used[1])):
+            if least and amount > least + SLACK:
+                return True
+        return not team.cpus and not team.gpus
+
+    def used(self, crew: str) -> tuple[float, float]:
+        used = self._used.get(crew, (0.0, 0.0))
+        return (used[0], used[1])
+
+
+def mark_guaranteed(jobs: Iterable[Job], teams: dict[str, Team]) -> None:
+    """Set `within` on jobs that fit their team's guarantee with its earlier ones."""
+    sums: dict[str, list[float]] = {}
+    for job in sorted(jobs, key=lambda job: (job.submitted, job.id)):
+        team = teams.get(job.spec.crew)
+        total = sums.setdefault(job.spec.crew, [0.0, 0.0])
+        total[0] += job.need[0] * job.spec.frames
+        total[1] += job.need[1] * job.spec.frames
+        job.within = team is not None and _within(team, total)
+
+
+def _within(team: Team, total: list[float]) -> bool:
+    """A guarantee of 0 cards means none, so work on cards is never within it."""
+    if not team.gpus and not team.cpus:
+        return False
+    if team.gpus and total[1] > team.gpus + SLACK:
+        return False
+    if not team.gpus and total[1] > SLACK:
+        return False
+    return not team.cpus or total[0] <= team.cpus + SLACK
--- /dev/null
+++ b/topazhold/core/records.py
@@ -0,0 +1,113 @@
+"""What the service keeps in the state service, key by key."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from topazhold.core.jobs import PART, Job, JobState, Run
+from topazhold.wire import messages as wire
+from topazhold.wire.codec import BadMessage, convert
+from topazhold.wire.messages import JobSpec
+
+LIVE_PREFIX = "live/"
+OVER_PREFIX = "over/"
+PART_PREFIX = "part/"
+ON_PREFIX = "on/"
+SUMMARY_PREFIX = "sum/"
+RELAY_PREFIX = "relay/"
+
+#: Intents of one machine that fit a value, by the size of one packed run.
+RUN_BYTES = 64
+
+
+def live_key(job: str) -> str:
+    return LIVE_PREFIX + job
+
+
+def over_key(job: str) -> str:
+    return OVER_PREFIX + job
+
+
+def part_key(job: str, part: int) -> str:
+    return f"{PART_PREFIX}{job}/{part:03d}"
+
+
+def on_key(machine: str) -> str:
+    return ON_PREFIX + machine
+
+
+def live_value(job: Job, token: str) -> dict[str, Any]:
+    """A live job: its spec and the done marks of its first part."""
+    value = {
+        "by": token,
+        "spec": msgspec.to_builtins(job.spec),
+        "at": job.submitted,
+        "node": job.node,
+        "count": job.done_count,
+    }
+    done = job.part_text(0)
+    if done:
+        value["done"] = done
+    return value
+
+
+def read_live(data: Any, mark: int, now: float, clock: float) -> Job:
+    """A job out of its live value; `now` is the time of day, `clock` the steady one."""
+    if not isinstance(data, dict):
+        raise BadMessage("not a live job")
+    spec = convert(data.get("spec"), JobSpec)
+    submitted = float(data.get("at", now))
+    job = Job(spec, clock - max(0.0, now - submitted), submitted, str(data.get("node", "")))
+    job.mark = mark
+    if data.get("done"):
+        job.load_part(0, data["done"])
+    return job
+
+
+def over_value(
+    spec: dict[str, Any], stage: str, at: float, token: str
+) -> dict[str, Any]:
+    """A job that is over; the spec stays for tasks still on machines."""
+    return {"by": token, "spec": spec, "stage": stage, "at": at}
+
+
+def read_over(data: Any, now: float, clock: float) -> Job:
+    """A job that is over, for tasks that may still be on machines."""
+    spec = convert(data.get("spec"), JobSpec)
+    at = float(data.get("at", now))
+    job = Job(spec, clock, at, "")
+    if data.get("stage") == wire.DONE:
+        job.state = JobState.DONE
+    else:
+        job.abort(clock - max(0.0, now - at))
+    return job
+
+
+def over_stage(data: Any) -> str:
+    return wire.DONE if data.get("stage") == wire.DONE else wire.ABORTED
+
+
+def on_value(flight: int, runs: list[Run], zone: str, spot: bool, breed: str, token: str) -> Any:
+    """A machine's intents: everything that may be, or may come to be, on it."""
+    return {
+        "by": token,
+        "flight": flight,
+        "box": [zone, spot, breed],
+        "runs": [[run.job.id, run.index, run.attempt] for run in runs],
+    }
+
+
+def read_on(data: Any) -> tuple[int, list[tuple[str, int, int]], tuple[str, bool, str]]:
+    """Flight, runs and the machine's place; ValueError if unreadable."""
+    try:
+        runs = [(str(job), int(index), int(attempt)) for job, index, attempt in data["runs"]]
+        zone, spot, breed = data["box"]
+        return int(data["flight"]), runs, (str(zone), bool(spot), str(breed))
+    except (KeyError, TypeError) as exc:
+        raise ValueError(f"not a machine's intents: {exc}") from None
+
+
+def parts_of(job: Job) -> int:
+    return (job.spec.frames + PART - 1) // PART
--- /dev/null
+++ b/topazhold/core/search.py
@@ -0,0 +1,304 @@
+"""The search for a gang's machines: pivots, zone caches, swap loop.
+
+A random machine of the whole fleet is the pivot. Its zone's cache, then the
+caches of the machines gathered so far, then those of further pivots give
+alpha·N candidate slots. A swap loop picks the N with the lowest score: the
+wait until all can start (image fetches included) and the distance to the
+group's zone.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable, Mapping, Sequence
+from random import Random
+from typing import Any
+
+from topazhold.core.jobs import Room
+from topazhold.core.machines import fits, plus, times_fits
+from topazhold.wire.messages import JobSpec
+
+#: Machines in a zone's cache.
+CACHE_LENGTH = 20
+
+
+class Offer:
+    """What one machine can give, and when."""
+
+    __slots__ = ("name", "zone", "breed", "spot", "images", "rungs", "evictable", "fetch_rate")
+
+    def __init__(
+        self, name: str, zone: str, breed: str, spot: bool, images: frozenset[str],
+        rungs: list[tuple[float, Room]], evictable: list[tuple[int, float, Room]],
+        fetch_rate: float,
+    ) -> None:  # fmt: skip
+        self.name = name
+        self.zone = zone
+        self.breed = breed
+        self.spot = spot
+        self.images = images
+        self.rungs = rungs  # (seconds from now, room free then)
+        self.evictable = evictable  # (urgency, seconds, room that it may take from others)
+        self.fetch_rate = fetch_rate
+
+    def ladder(self, level: int, held: Room | None) -> list[tuple[float, Room]]:
+        """Room over time for work of an urgency, less what others hold."""
+        rungs = list(self.rungs)
+        if rungs:
+            for of_level, delay, room in self.evictable:
+                if of_level == level:
+                    rungs.append((delay, plus(rungs[0][1], room)))
+        if held is not None:
+            rungs = [(delay, plus(room, held, -1.0)) for delay, room in rungs]
+        rungs.sort(key=lambda rung: rung[0])
+        return rungs
+
+    def pack(self) -> list[Any]:
+        return [
+            self.name, self.breed, self.spot, sorted(self.images),
+            [[round(delay, 1), *(round(part, 3) for part in room)] for delay, room in self.rungs],
+            [
+                [level, round(delay, 1), *(round(part, 3) for part in room)]
+                for level, delay, room in self.evictable
+            ],
+            round(self.fetch_rate, 3),
+        ]  # fmt: skip
+
+
+def unpack_offer(zone: str, data: Any) -> Offer:
+    """Read an offer out of a zone's summary; ValueError if it is none."""
+    try:
+        name, breed, spot, images, rungs, evictable, rate = data
+        return Offer(
+            str(name), zone, str(breed), bool(spot), frozenset(images),
+            [(float(r[0]), (float(r[1]), float(r[2]), float(r[3]))) for r in rungs],
+            [(int(e[0]), float(e[1]), (float(e[2]), float(e[3]), float(e[4]))) for e in evictable],
+            float(rate),
+        )  # fmt: skip
+    except (TypeError, IndexError) as exc:
+        raise ValueError(f"not an offer: {exc}") from None
+
+
+class Slot:
+    """Room for one task: the `nth` of this job's on its machine."""
+
+    __slots__ = ("offer", "nth", "delay", "ready", "cost")
+
+    def __init__(
+        self, offer: Offer, nth: int, delay: float, ready: float, cost: float
+    ) -> None:
+        self.offer = offer
+        self.nth = nth
+        self.delay = delay  # wait for room
+        self.ready = ready  # wait for room and image
+        self.cost = cost  # small preferences, in seconds
+
+
+class Group:
+    """The best group found."""
+
+    __slots__ = ("score", "wait", "room_wait", "slots")
+
+    def __init__(
+        self, score: float, wait: float, room_wait: float, slots: dict[str, int]
+    ) -> None:
+        self.score = score
+        self.wait = wait
+        self.room_wait = room_wait
+        self.slots = slots
+
+
+class SearchRules:
+    """Sizes and weights of the search."""
+
+    def __init__(
+        self, alpha: float, groups: int, rounds: int, distance_s: float, preference_s: float
+    ) -> None:
+        self.alpha = alpha
+        self.groups = groups
+        self.rounds = rounds
+        self.distance_s = distance_s  # seconds that one step of distance is worth
+        self.preference_s = preference_s  # seconds that a full preference is worth
+
+
+def allowed(spec: JobSpec, breed: str, zone: str, spot: bool) -> bool:
+    """Whether the job may be on such a machine."""
+    if spec.breeds is not None and breed not in spec.breeds:
+        return False
+    if spec.apiary is not None and zone != spec.apiary:
+        return False
+    return spec.drones or not spot
+
+
+def offer_slots(
+    offer: Offer, spec: JobSpec, level: int, held: Room | None, most: int, rules: SearchRules
+) -> list[Slot]:
+    """Up to `most` slots of one machine, soonest first."""
+    if not allowed(spec, offer.breed, offer.zone, offer.spot):
+        return []
+    need = (spec.vcpus, spec.cards, spec.ram_gb)
+    fetch = 0.0
+    if spec.comb not in offer.images:
+        fetch = spec.image_gb / offer.fetch_rate if offer.fetch_rate > 0 else 0.0
+    slots: list[Slot] = []
+    for delay, room in offer.ladder(level, held):
+        count = times_fits(need, room, most)
+        cost = 0.0
+        if spec.drones and not offer.spot:
+            cost += rules.preference_s  # leave ordinary machines to those who need them
+        if room[1] > 0:
+            left = (room[1] - need[1]) / room[1]
+            cost += 0.5 * rules.preference_s * left  # fill machines that are in use already
+        while len(slots) < count:
+            slots.append(Slot(offer, len(slots), delay, delay + fetch, cost))
+    return slots
+
+
+def gather(
+    rng: Random, directory: Sequence[tuple[str, str]], caches: Mapping[str, Sequence[Offer]],
+    spec: JobSpec, level: int, taken: Mapping[str, Room], rules: SearchRules,
+) -> list[Slot]:  # fmt: skip
+    """Alpha·N candidate slots from a random pivot's cache and those it leads to."""
+    want = max(spec.frames, math.ceil(rules.alpha * spec.frames))
+    pivots = [zone for _, zone in directory if spec.apiary is None or zone == spec.apiary]
+    found: list[Slot] = []
+    visited: set[str] = set()
+    while pivots and len(found) < want:
+        zone = rng.choice(pivots)
+        pivots = [other for other in pivots if other != zone]
+        if zone in visited:
+            continue
+        visited.add(zone)
+        near: list[Slot] = []
+        for offer in caches.get(zone, ()):
+            near += offer_slots(offer, spec, level, taken.get(offer.name), spec.frames, rules)
+        near.sort(key=lambda slot: (slot.ready + slot.cost, slot.nth))
+        if spec.same_place:
+            if len(near) >= spec.frames:
+                return near[:want]
+            continue  # this zone can't take the gang; another pivot
+        if spec.scatter:
+            near = near[: max(1, math.ceil(want / 2))]
+        found += near[: want - len(found)] if not spec.scatter else near
+    return [] if spec.same_place else found
+
+
+def score_group(group: Sequence[Slot], spec: JobSpec, rules: SearchRules) -> float:
+    """Lower is better; infinite if the job's placement rules are broken."""
+    zones: dict[str, int] = {}
+    counts: dict[str, list[int]] = {}
+    wait = 0.0
+    cost = 0.0
+    for slot in group:
+        zone = slot.offer.zone
+        zones[zone] = zones.get(zone, 0) + 1
+        counts.setdefault(slot.offer.name, []).append(slot.nth)
+        wait = max(wait, slot.ready)
+        cost += slot.cost
+    for nths in counts.values():
+        # The nth slot of a machine counts on the ones before it.
+        if max(nths) >= len(nths):
+            return math.inf
+    centre = max(zones.values())
+    if spec.same_place and len(zones) > 1:
+        return math.inf
+    if spec.scatter and centre > (spec.frames + 1) // 2:
+        return math.inf
+    distance = len(group) - centre
+    return wait + rules.distance_s * distance + cost / len(group)
+
+
+def pick(rng: Random, slots: Sequence[Slot], spec: JobSpec, rules: SearchRules) -> Group | None:
+    """The swap loop: groups of N among the candidates, improved round by round."""
+    size = spec.frames
+    if len(slots) < size:
+        return None
+    first = _first_group(slots, spec)
+    best: list[Slot] | None = None
+    best_score = math.inf
+    groups: list[tuple[list[Slot], float]] = []
+    for number in range(rules.groups):
+        group = first if number == 0 and first else rng.sample(list(slots), size)
+        score = score_group(group, spec, rules)
+        groups.append((group, score))
+        if score < best_score:
+            best, best_score = group, score
+        if len(slots) == size:
+            break
+    if len(slots) > size:
+        for _ in range(rules.rounds):
+            for number, (group, score) in enumerate(groups):
+                swapped = _swap(rng, group, slots)
+                new_score = score_group(swapped, spec, rules)
+                if new_score < score:
+                    groups[number] = (swapped, new_score)
+                    if new_score < best_score:
+                        best, best_score = swapped, new_score
+    if best is None or math.isinf(best_score):
+        return None
+    counts: dict[str, int] = {}
+    for slot in best:
+        counts[slot.offer.name] = counts.get(slot.offer.name, 0) + 1
+    wait = max(slot.ready for slot in best)
+    return Group(best_score, wait, max(slot.delay for slot in best), counts)
+
+
+def _first_group(slots: Sequence[Slot], spec: JobSpec) -> list[Slot] | None:
+    """The soonest slots, with the earlier ones of every machine, zone caps kept."""
+    most = (spec.frames + 1) // 2 if spec.scatter else spec.frames
+    zones: dict[str, int] = {}
+    group: list[Slot] = []
+    for slot in sorted(slots, key=lambda slot: (slot.ready + slot.cost, slot.nth)):
+        zone = slot.offer.zone
+        if zones.get(zone, 0) < most:
+            zones[zone] = zones.get(zone, 0) + 1
+            group.append(slot)
+            if len(group) == spec.frames:
+                return group
+    return None
+
+
+def _swap(rng: Random, group: Sequence[Slot], slots: Sequence[Slot]) -> list[Slot]:
+    swapped = list(group)
+    inside = {id(slot) for slot in group}
+    for _ in range(4):
+        other = slots[rng.randrange(len(slots))]
+        if id(other) not in inside:
+            swapped[rng.randrange(len(swapped))] = other
+            break
+    return swapped
+
+
+def search(
+    rng: Random, directory: Sequence[tuple[str, str]], caches: Mapping[str, Sequence[Offer]],
+    spec: JobSpec, level: int, taken: Mapping[str, Room], rules: SearchRules, tries: int,
+) -> Group | None:  # fmt: skip
+    """The best group of a few independent searches, each from its own pivot."""
+    best: Group | None = None
+    for _ in range(tries):
+        slots = gather(rng, directory, caches, spec, level, taken, rules)
+        group = pick(rng, slots, spec, rules) if slots else None
+        if group is not None and (best is None or group.score < best.score):
+            best = group
+    return best
+
+
+def pack_summary(offers: Iterable[Offer], limit: int, size_of: Any) -> list[Any]:
+    """A zone's cache for the state service, cut to its value limit."""
+    packed: list[Any] = []
+    size = 0
+    for offer in offers:
+        item = offer.pack()
+        size += size_of(item) + 1
+        if size > limit or len(packed) == CACHE_LENGTH:
+            break
+        packed.append(item)
+    return packed
+
+
+def sooner(offer: Offer) -> tuple[float, float]:
+    """Order of a cache: soonest free first, then the roomiest."""
+    for delay, room in offer.rungs:
+        if fits((0.0, 0.0, 0.0), room) and (room[0] > 0 and (room[1] > 0 or room[2] > 0)):
+            return (delay, -room[1])
+    return (math.inf, 0.0)
--- /dev/null
+++ b/topazhold/io/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, HTTP and peer links, on curio and h11."""
--- /dev/null
+++ b/topazhold/wire/codec.py
@@ -0,0 +1,57 @@
+"""CBOR bodies to and from message structs."""
+
+from __future__ import annotations
+
+import math
+from typing import Any, TypeVar
+
+import cbor2
+import msgspec
+
+T = TypeVar("T")
+
+
+class BadMessage(ValueError):
+    """A body that is not CBOR, or not the message that was expected."""
+
+
+def pack(message: Any) -> bytes:
+    """Encode a struct, a map or a list."""
+    return cbor2.dumps(msgspec.to_builtins(message))
+
+
+def unpack(body: bytes) -> Any:
+    """Decode a body to plain values."""
+    try:
+        return cbor2.loads(body)
+    except Exception as exc:  # the decoder raises many kinds on hostile input
+        raise BadMessage(f"not CBOR: {type(exc).__name__}") from None
+
+
+def convert(value: Any, kind: type[T]) -> T:
+    """Check plain values against a struct; non-finite numbers are refused."""
+    if not isinstance(value, dict):
+        raise BadMessage("not a map")
+    try:
+        message = msgspec.convert(value, kind)
+    except (msgspec.ValidationError, RecursionError, TypeError) as exc:
+        raise BadMessage(str(exc)) from None
+    _refuse_non_finite(message)
+    return message
+
+
+def read(body: bytes, kind: type[T]) -> T:
+    """Decode and check a body."""
+    return convert(unpack(body), kind)
+
+
+def json_size(value: Any) -> int:
+    """The size that the protocol's limits count."""
+    return len(msgspec.json.encode(value))
+
+
+def _refuse_non_finite(message: Any) -> None:
+    for name in getattr(message, "__struct_fields__", ()):
+        value = getattr(message, name)
+        if isinstance(value, float) and not math.isfinite(value):
+            raise BadMessage(f"{name}: not a finite number")
