--- a/topazhold/control/users.py
+++ b/topazhold/control/users.py
@@ -127,7 +127,10 @@
         except Conflict:
             known = await self._state(job_id)
             return known or Answer(503, retry_after=1.0)
-        log.info("job %s accepted: %s %s of %d", job_id, spec.urgency, spec.shape, spec.frames)
+        log.info(
+            "job %s accepted: %s, %s %s of %d for %s",
+            job_id, spec.lane, spec.urgency, spec.shape, spec.frames, spec.crew,
+        )  # fmt: skip
         await self._accepted(job)
         return Answer(201, wire.job_answer(job_id, wire.PENDING))
 
--- a/topazhold/core/quota.py
+++ b/topazhold/core/quota.py
@@ -31,14 +31,22 @@
     def remove(self, job: Job, count: int = 1) -> None:
         self.add(job, -count)
 
-    def allows(self, job: Job, count: int = 1) -> bool:
-        """Whether `count` more tasks of the job stay within its team's limit."""
+    def allows(
+        self, job: Job, count: int = 1, claimed: tuple[float, float] = (0.0, 0.0)
+    ) -> bool:
+        """Whether `count` more tasks of the job stay within its team's limit.
+
+        `claimed` is what others of the team are to have first; a negative
+        amount is what some of them would give up.
+        """
         team = self.teams.get(job.spec.crew)
         if team is None:
             return False
         used = self._used[team.name]
         return team_limit_allows(
-            team, used[0] + job.need[0] * count, used[1] + job.need[1] * count
+            team,
+            used[0] + claimed[0] + job.need[0] * count,
+            used[1] + claimed[1] + job.need[1] * count,
         )
 
     def beyond_guarantee(self, crew: str) -> bool:
--- a/topazhold/core/realm.py
+++ b/topazhold/core/realm.py
@@ -93,6 +93,7 @@
         self._gone: dict[str, None] = {}
         self._over: dict[str, None] = {}
         self._starved_since: dict[str, float] = {}
+        self._claims: dict[str, tuple[float, float]] = {}
 
     # -- jobs --------------------------------------------------------------
 
@@ -503,6 +504,8 @@
     def _step_gang(self, job: Job, now: float) -> None:
         before = job.gang_state
         why = gangs.step(job, self.clock, now)
+        if job.gang_state is GangState.RUNNING and before is GangState.STARTING:
+            log.info("gang %s runs, %.1f s after it came", job.id, now - job.arrived)
         if why is not None and not job.complete:
             running = before is GangState.RUNNING
             settle = job.spec.seal_s + self.report_s if running and job.spec.cap_s > 0 else 0.0
@@ -623,15 +626,64 @@
         self.refresh_guarantees()
         planned: list[Run] = []
         touched: set[str] = set()
+        # What waiting gangs are to have of their teams' limits. Without it a
+        # team's arrays take up its limit task by task, and a gang that needs
+        # more at once waits until they are all done.
+        self._claims = {}
         for job in self._waiting_jobs(now):
             if len(planned) >= MOST_PLANNED:
                 break
             if job.gang:
                 self._plan_gang(job, planned, touched, now)
+                if job.gang_state is GangState.WAITING:
+                    self._claim(job)
             else:
                 self._plan_array(job, planned, touched, now)
         return planned
 
+    def _claim(self, job: Job) -> None:
+        old = self._claims.get(job.spec.crew, (0.0, 0.0))
+        size = job.spec.frames
+        self._claims[job.spec.crew] = (
+            old[0] + job.need[0] * size, old[1] + job.need[1] * size
+        )  # fmt: skip
+
+    def _claimed(self, job: Job) -> tuple[float, float]:
+        return self._claims.get(job.spec.crew, (0.0, 0.0))
+
+    def _lower_runs(self, job: Job) -> list[Run]:
+        """Runs of the same team that a gang may stop to get at its limit."""
+        return [
+            run for other in self.jobs.values()
+            if other.spec.crew == job.spec.crew and other.level > job.level
+            and self.rank(other) > self.rank(job)  # else it would be placed again at once
+            for run in other.runs.values()
+            if run.present and not (other.gang and other.gang_state is GangState.STARTING)
+        ]  # fmt: skip
+
+    def _limit_reachable(self, job: Job) -> bool:
+        """Whether the gang fits its team's limit, lower work of the team stopped."""
+        if self.usage.allows(job, job.spec.frames):
+            return True
+        vcpus = cards = 0.0
+        for run in self._lower_runs(job):
+            vcpus += run.job.need[0]
+            cards += run.job.need[1]
+        return self.usage.allows(job, job.spec.frames, (-vcpus, -cards))
+
+    def _make_limit(self, job: Job, now: float) -> None:
+        """Stop the team's own lower work until the gang fits the limit."""
+        vcpus = cards = 0.0
+        runs = self._lower_runs(job)
+        runs.sort(key=lambda run: (not run.stopping, preemption.loss(run, now)))
+        for run in runs:
+            if self.usage.allows(job, job.spec.frames, (-vcpus, -cards)):
+                return
+            vcpus += run.job.need[0]
+            cards += run.job.need[1]
+            if not run.stopping and run.state is not RunState.INTENDED:
+                self.stop_for_room(run, f"limit of {job.spec.crew} for {job.id}", now)
+
     def _waiting_jobs(self, now: float) -> list[Job]:
         jobs = [
             job for job in self.jobs.values()
@@ -677,7 +729,10 @@
             log.info("hold of %s refused: %s", job.id, fault)
             self.rejected[job.id] = hold.serial
             return
-        if not self.usage.allows(job, job.spec.frames):
+        if not self.usage.allows(job, job.spec.frames, self._claimed(job)):
+            if self.usage.allows(job, job.spec.frames) or not self._limit_reachable(job):
+                return
+            self._make_limit(job, now)
             return
         taken = self.book.taken(job.id, self.rank(job), self._binding)
         short: list[tuple[Machine, Room]] = []
@@ -716,7 +771,7 @@
             and job.state is JobState.LIVE
             and job.gang_state is GangState.WAITING
             and not self.spent(job, hold)
-            and self.usage.allows(job, job.spec.frames)
+            and self._limit_reachable(job)
         )
 
     def _hold_fault(self, job: Job, hold: Hold) -> str | None:
@@ -779,7 +834,9 @@
             if only is not None and machine.zone != only:
                 continue
             while count > 0 and len(planned) < MOST_PLANNED:
-                if not self._may_touch(machine, touched, 1) or not self.usage.allows(job):
+                if not self._may_touch(machine, touched, 1):
+                    break
+                if not self.usage.allows(job, 1, self._claimed(job)):
                     break
                 if spec.scatter and zones.get(machine.zone, 0) >= most_in_zone:
                     break
@@ -835,7 +892,7 @@
 
     def _array_starves(self, job: Job, taken: dict[str, Room], now: float) -> None:
         """Within its guarantee a job gets back what other teams have borrowed."""
-        if not job.within or not self.usage.allows(job):
+        if not job.within or not self.usage.allows(job, 1, self._claimed(job)):
             return
         since = self._starved_since.setdefault(job.id, now)
         if now - since < 2 * self.report_s:
@@ -885,7 +942,7 @@
         """Gangs that need a hold: none in force, and their team may use the room."""
         found = []
         for job in self._waiting_jobs(now):
-            if not job.gang or not self.usage.allows(job, job.spec.frames):
+            if not job.gang or not self._limit_reachable(job):
                 continue
             found.append(job)
         return found
