A gang claims its team's limit only once its machines are free

Cause: the wider claim kept arrays out of limits that gangs could not use yet. Ruled out: the evictions alone.

--- a/topazhold/core/realm.py
+++ b/topazhold/core/realm.py
@@ -626,17 +626,15 @@
         self.refresh_guarantees()
         planned: list[Run] = []
         touched: set[str] = set()
-        # What waiting gangs are to have of their teams' limits. Without it a
-        # team's arrays take up its limit task by task, and a gang that needs
-        # more at once waits until they are all done.
+        # What gangs whose machines are free are to have of their teams' limits.
+        # Without it a team's arrays take up its limit task by task, and a gang
+        # that needs more at once waits until they are all done.
         self._claims = {}
         for job in self._waiting_jobs(now):
             if len(planned) >= MOST_PLANNED:
                 break
             if job.gang:
                 self._plan_gang(job, planned, touched, now)
-                if job.gang_state is GangState.WAITING:
-                    self._claim(job)
             else:
                 self._plan_array(job, planned, touched, now)
         return planned
@@ -729,10 +727,7 @@
             log.info("hold of %s refused: %s", job.id, fault)
             self.rejected[job.id] = hold.serial
             return
-        if not self.usage.allows(job, job.spec.frames, self._claimed(job)):
-            if self.usage.allows(job, job.spec.frames) or not self._limit_reachable(job):
-                return
-            self._make_limit(job, now)
+        if not self._limit_reachable(job):
             return
         taken = self.book.taken(job.id, self.rank(job), self._binding)
         short: list[tuple[Machine, Room]] = []
@@ -745,6 +740,12 @@
         if short:
             self._make_room(job, short, taken, now)
             return
+        if not self.usage.allows(job, job.spec.frames, self._claimed(job)):
+            # The machines are free and only the team's own limit is in the way.
+            if self._claimed(job) == (0.0, 0.0):
+                self._make_limit(job, now)
+            self._claim(job)
+            return
         if not all(self._may_touch(self.machines[n], touched, c) for n, c in hold.slots.items()):
             if len(hold.slots) <= self.most_planned_machines or touched:
                 return
