--- a/topazhold/control/booking.py
+++ b/topazhold/control/booking.py
@@ -94,6 +94,7 @@
         self._written: list[Any] | None = None
         self._serial = 0
         self._sequence = 0
+        self.wrote_at = -1e9
         self.wake = curio.Event()
 
     async def accepted(self, spec: JobSpec, now: float) -> None:
@@ -158,11 +159,12 @@
             spec.id, ",".join(group.slots), group.wait, group.score,
         )  # fmt: skip
 
-    async def write(self, permit: int) -> bool:
+    async def write(self, permit: int, now: float) -> bool:
         """Write the holds if they changed; False if another's booking came between."""
         packed = [hold.pack() for hold in self.mine.values()]
         if packed == self._written:
             return True
+        self.wrote_at = now
         self._sequence += 1
         token = f"{self.node}-{permit}-{self._sequence}"
         value = pack_value(self.mine.values(), token)
--- a/topazhold/control/node.py
+++ b/topazhold/control/node.py
@@ -371,19 +371,18 @@
 
     async def _booking_loop(self) -> None:
         """At most one write of holds a second."""
-        last = -1e9
+        booking = self.booking
         while True:
-            await curio.ignore_after(1.0, self.booking.wake.wait)
-            self.booking.wake.clear()
+            await curio.ignore_after(1.0, booking.wake.wait)
             now = await curio.clock()
-            if now - last < 1.0:
-                await curio.sleep(1.0 - (now - last))
-            last = await curio.clock()
+            if now - booking.wrote_at < 1.0:
+                await curio.sleep(1.0 - (now - booking.wrote_at))
+            booking.wake.clear()
             permit = self.permit
             if permit is None:
                 continue
             try:
-                await self._book(permit, last)
+                await self._book(permit, await curio.clock())
             except TROUBLE as exc:
                 log.debug("booking: %s", exc)
 
@@ -403,7 +402,7 @@
             if booking.wanted:
                 await booking.read_book()
         booking.round(view, now)
-        if await booking.write(permit) and reign is not None:
+        if await booking.write(permit, now) and reign is not None:
             await reign.stir()
 
     def _wanted_of_queen(self, reign: Reign, now: float) -> None:
--- a/topazhold/control/reign.py
+++ b/topazhold/control/reign.py
@@ -443,8 +443,11 @@
                 machine = self.realm.machines.get(name)
                 if machine is None or machine.endpoint is None:
                     continue
-                calls = self.realm.kills(machine)
-                if calls and len(self._striking) < MOST_STRIKES:
+                if len(self._striking) >= MOST_STRIKES:
+                    self.realm.strikes.add(name)
+                    break
+                calls = self.realm.direct_calls(machine)
+                if calls:
                     self._striking.add(name)
                     await curio.spawn(self._strike, machine, calls, daemon=True)
 
--- a/topazhold/core/machines.py
+++ b/topazhold/core/machines.py
@@ -49,7 +49,7 @@
         self.listed_at: float | None = None  # request time of the newest list that had it
         self.unlisted = 0  # lists in a row, asked for after it fell silent, without it
         self.why = ""
-        self.speed = 1.0
+        self.bell: tuple[str, int] | None = None  # an ended task kept uncleared
 
     # -- changes of state ------------------------------------------------
 
--- a/topazhold/core/realm.py
+++ b/topazhold/core/realm.py
@@ -86,6 +86,7 @@
         self.next_attempt = crown * ATTEMPTS_PER_REIGN
         # What is to be done by the outside:
         self.strikes: set[str] = set()  # machines to send kills to directly
+        self.rings: set[str] = set()  # machines to be made to report at once
         self.releases: dict[str, str] = {}  # machines to release, with the reason
         self.finished: list[Job] = []  # jobs to move to `over`
         self.rejected: dict[str, int] = {}  # holds that can't be honoured, by serial
@@ -450,7 +451,7 @@
 
     def answer(self, machine: Machine, rep: Report, now: float) -> list[Call]:
         """The commands for a report's answer: clears, kills, launches, in this order."""
-        calls = self._clears(rep) + self.kills(machine)
+        calls = self._clears(machine, rep) + self.kills(machine)
         if machine.state is MachineState.READY and rep.crown == self.crown:
             for run in machine.runs.values():
                 if run.state is RunState.WRITTEN and not run.stopping:
@@ -459,8 +460,15 @@
                     calls.append(wire.launch(run.frame, run.attempt))
         return calls
 
-    def _clears(self, rep: Report) -> list[Call]:
+    def _clears(self, machine: Machine, rep: Report) -> list[Call]:
+        """Clears for ended tasks, but for one that is kept to ring with.
+
+        A change of a worker's tasks makes it report at once. Clearing the kept
+        task directly is such a change, so a launch need not wait for the next
+        regular report.
+        """
         calls = []
+        machine.bell = None
         for frame in rep.frames:
             if frame.stage != wire.ENDED:
                 continue
@@ -473,8 +481,26 @@
                 ):  # fmt: skip
                     continue  # the worker's word is the only record until it is saved
             calls.append(wire.clear(frame.frame, frame.attempt))
+        if calls:
+            kept = calls.pop()
+            machine.bell = (kept.frame, kept.attempt)
+        return calls
+
+    def direct_calls(self, machine: Machine) -> list[Call]:
+        """What goes out directly: kills, and the ring for a waiting launch."""
+        calls = self.kills(machine)
+        if machine.name in self.rings:
+            self.rings.discard(machine.name)
+            if machine.bell is not None:
+                calls.append(wire.clear(*machine.bell))
+                machine.bell = None
         return calls
 
+    def _ring(self, machine: Machine, now: float) -> None:
+        if machine.bell is not None and now - (machine.heard_at or 0.0) > 0.1 * self.report_s:
+            self.rings.add(machine.name)
+            self.strikes.add(machine.name)
+
     def kills(self, machine: Machine) -> list[Call]:
         """Kills for all that must leave the machine; every one can be repeated."""
         calls = []
@@ -927,6 +953,8 @@
                 run.job.used_hold = max(run.job.used_hold, run.job.starting_hold)
                 if run.stopping:
                     self._drop(run, now)
+                else:
+                    self._ring(self.machines[run.machine], now)
 
     def intents_failed(self, runs: Iterable[Run], now: float) -> None:
         """The transaction failed for good: none of it was or will be written."""
