--- a/topazhold/core/realm.py
+++ b/topazhold/core/realm.py
@@ -83,6 +83,7 @@
         self.usage = quota.Usage(cluster.teams)
         self.estimates = Estimates()
         self.refusals = renting.Refusals()
+        self.last_arrival = now
         self.next_attempt = crown * ATTEMPTS_PER_REIGN
         # What is to be done by the outside:
         self.strikes: set[str] = set()  # machines to send kills to directly
@@ -103,6 +104,7 @@
         if job.id not in self.jobs and job.id not in self._over:
             self.jobs[job.id] = job
             self._guaranteed_stale = True
+            self.last_arrival = max(self.last_arrival, job.arrived)
 
     def job_over(self, job_id: str, done: bool, over_at: float, now: float) -> None:
         """The job was moved to `over`, by this node or another."""
@@ -1056,17 +1058,22 @@
     # -- renting -----------------------------------------------------------
 
     def rent(self, now: float) -> list[renting.Ask]:
+        """Rental requests; idle machines that are not wanted go to `releases`."""
         breeds = list(self.breeds.values())
         self.refresh_guarantees()
-        wishes = renting.wishes(self.jobs.values(), breeds, self.usage.teams)
-        machines = list(self.machines.values())
+        slowest = max((breed.ready_s for breed in breeds), default=0.0)
+        growing = now - self.last_arrival < max(slowest, self.lease_s)
+        found = renting.wishes(
+            self.jobs.values(), breeds, self.usage.teams, self.zone_of, self.rent_rules, growing
+        )
+        held = {name for hold in self.book.all() if self._binding(hold) for name in hold.slots}
         asks: list[renting.Ask] = []
         for breed in breeds:
-            wish = wishes.get(breed.label)
-            if wish is not None:
-                asks += renting.rent(wish, breed, machines, self.refusals, self.rent_rules, now)
-            held = {name for hold in self.book.all() for name in hold.slots}
-            for machine in renting.returns(wish, breed, machines, self.rent_rules, now):
+            fleet = renting.Fleet(breed, self.machines.values())
+            asks += renting.rent(found, breed, fleet, self.refusals, now)
+            for machine in renting.returns(
+                found, breed, fleet, self.rent_rules, growing, now
+            ):
                 if machine.name not in held:
                     self.release(machine, "idle", now)
         return asks
--- a/topazhold/core/renting.py
+++ b/topazhold/core/renting.py
@@ -13,6 +13,8 @@
 
 #: Most machines that the cloud gives at one request.
 MOST_RENTED = 50
+#: Share of the usual patience with idle machines when no jobs come any more.
+IDLE_WHEN_QUIET = 0.2
 
 
 class Ask:
@@ -74,19 +76,38 @@
 
 
 class Wish:
-    """Machines wanted of one type: for ordinary-only work and for either kind."""
+    """Machines wanted of one type and kind: anywhere, and in given zones at least."""
 
-    __slots__ = ("ordinary", "either", "gang_zone")
+    __slots__ = ("total", "zones")
 
     def __init__(self) -> None:
-        self.ordinary = 0.0
-        self.either = 0.0
-        self.gang_zone = 0  # machines that the largest one-zone gang needs
+        self.total = 0.0
+        self.zones: dict[str, float] = {}
 
+    def add(self, machines: float, zone: str | None) -> None:
+        self.total += machines
+        if zone is not None:
+            self.zones[zone] = self.zones.get(zone, 0.0) + machines
 
-def wishes(jobs: Iterable[Job], breeds: list[Breed], teams: dict[str, Team]) -> dict[str, Wish]:
-    """Machines' worth of unfinished work per type, within the teams' limits."""
-    found: dict[str, Wish] = {}
+    def scale(self, factor: float) -> None:
+        self.total *= factor
+        for zone in self.zones:
+            self.zones[zone] *= factor
+
+
+#: Wishes by type and kind (True: spot).
+Wishes = dict[tuple[str, bool], Wish]
+
+
+def wishes(
+    jobs: Iterable[Job], breeds: list[Breed], teams: dict[str, Team],
+    zone_of: dict[str, str], rules: RentRules, growing: bool,
+) -> Wishes:  # fmt: skip
+    """Machines' worth of unfinished work per type and kind, within the teams' limits.
+
+    Headroom is kept only while jobs keep coming.
+    """
+    found: Wishes = {}
     room = {name: team.gpus_max or math.inf for name, team in teams.items()}
     for job in sorted(jobs, key=lambda job: (not job.within, job.level, job.arrived)):
         if job.state is not JobState.LIVE:
@@ -102,99 +123,134 @@
             continue
         whole = (breed.vcpus, breed.cards, breed.ram_gb)
         machines = tasks / times_fits(job.need, whole, 1 << 20)
-        wish = found.setdefault(breed.label, Wish())
-        if job.spec.drones:
-            wish.either += machines
-        else:
-            wish.ordinary += machines
-        if job.gang and job.spec.same_place:
-            wish.gang_zone = max(wish.gang_zone, math.ceil(machines))
+        spot = job.spec.drones and rules.use_spot and breed.market_price is not None
+        wish = found.setdefault((breed.label, spot), Wish())
+        wish.add(machines, _bound_zone(job, zone_of))
+    for wish in found.values():
+        wish.scale(1.0 + (rules.headroom_share if growing else 0.0))
     return found
 
 
+def _bound_zone(job: Job, zone_of: dict[str, str]) -> str | None:
+    """The only zone that the job's waiting tasks may go to, if there is one."""
+    if job.spec.apiary is not None:
+        return job.spec.apiary
+    if job.spec.same_place:
+        for run in job.runs.values():
+            if run.present and run.machine in zone_of:
+                return zone_of[run.machine]
+    return None
+
+
 def counted(machine: Machine) -> bool:
     """Whether a machine counts as capacity, now or soon."""
     return machine.state in (MachineState.STARTING, MachineState.UNSYNCED, MachineState.READY)
 
 
-def rent(
-    wish: Wish, breed: Breed, machines: Iterable[Machine], refusals: Refusals,
-    rules: RentRules, now: float,
-) -> list[Ask]:  # fmt: skip
-    """Requests that bring a type's capacity up to what is wished."""
-    have = {True: 0, False: 0}
-    zones: dict[tuple[str, bool], int] = {
-        (zone, spot): 0 for zone in breed.apiaries for spot in (True, False)
-    }
-    for machine in machines:
-        if counted(machine) and machine.breed is not None and machine.breed.label == breed.label:
-            have[machine.spot] += 1
+class Fleet:
+    """Machines of one type, counted by zone and kind."""
+
+    def __init__(self, breed: Breed, machines: Iterable[Machine]) -> None:
+        self.machines = [
+            machine for machine in machines
+            if counted(machine) and machine.breed is not None
+            and machine.breed.label == breed.label
+        ]  # fmt: skip
+        self.zones: dict[tuple[str, bool], int] = {
+            (zone, spot): 0 for zone in breed.apiaries for spot in (True, False)
+        }
+        for machine in self.machines:
             key = (machine.zone, machine.spot)
-            zones[key] = zones.get(key, 0) + 1
-    spare = 1.0 + rules.headroom_share
-    either = wish.either * spare
-    ordinary = wish.ordinary * spare + (1 if wish.ordinary else 0)
-    asks: list[Ask] = []
-    cheap = rules.use_spot and breed.market_price is not None
-    short_spot = math.ceil(either) - have[True] if cheap else 0
-    short_spot -= max(0, have[False] - math.ceil(ordinary))
-    if short_spot > 0:
-        asks += _spread(breed, True, short_spot, zones, refusals, now)
-    missing = short_spot - sum(ask.count for ask in asks) if short_spot > 0 else 0
-    if not cheap:
-        missing = math.ceil(either)
-    short = math.ceil(ordinary + max(0, missing)) - have[False]
-    if short > 0:
-        asks += _spread(breed, False, short, zones, refusals, now)
-    return asks
-
-
-def _spread(
-    breed: Breed, spot: bool, count: int, zones: dict[tuple[str, bool], int],
+            self.zones[key] = self.zones.get(key, 0) + 1
+
+    def count(self, spot: bool) -> int:
+        return sum(number for (_, kind), number in self.zones.items() if kind is spot)
+
+
+def rent(
+    found: Wishes, breed: Breed, fleet: Fleet, refusals: Refusals, now: float
+) -> list[Ask]:
+    """Requests that bring a type's capacity up to what is wished.
+
+    Spot machines are asked for first; what the cloud won't give of them is
+    made up by ordinary ones.
+    """
+    cheap = found.get((breed.label, True), Wish())
+    plain = found.get((breed.label, False), Wish())
+    # Ordinary machines beyond their own wish serve spot work too.
+    spare = max(0, fleet.count(False) - math.ceil(plain.total))
+    asks, missing, missing_zones = _ask(
+        breed, True, math.ceil(cheap.total) - spare, cheap.zones, fleet, refusals, now
+    )
+    zones = dict(plain.zones)
+    for zone, number in missing_zones.items():
+        zones[zone] = zones.get(zone, 0.0) + number
+    more, _, _ = _ask(
+        breed, False, math.ceil(plain.total) + missing, zones, fleet, refusals, now
+    )
+    return asks + more
+
+
+def _ask(
+    breed: Breed, spot: bool, total: int, zones: dict[str, float], fleet: Fleet,
     refusals: Refusals, now: float,
-) -> list[Ask]:  # fmt: skip
-    """Share a shortage out over the zones that still give, emptiest first."""
-    usable = [
-        zone for zone in breed.apiaries if refusals.open(breed.label, zone, spot, now)
-    ]
-    if not usable:
-        return []
-    counts = {zone: 0 for zone in usable}
-    for _ in range(min(count, MOST_RENTED)):
-        zone = min(usable, key=lambda zone: (zones.get((zone, spot), 0) + counts[zone], zone))
-        counts[zone] += 1
-    return [Ask(breed.label, zone, spot, number) for zone, number in counts.items() if number]
+) -> tuple[list[Ask], int, dict[str, int]]:  # fmt: skip
+    """Requests of one kind, and what can't be asked for: in all, and by zone."""
+    usable = [zone for zone in breed.apiaries if refusals.open(breed.label, zone, spot, now)]
+    counts = dict.fromkeys(usable, 0)
+    missing_zones: dict[str, int] = {}
+    for zone, number in zones.items():
+        short = math.ceil(number) - fleet.zones.get((zone, spot), 0)
+        if short > 0 and zone in counts:
+            counts[zone] = min(short, MOST_RENTED)
+        elif short > 0:
+            missing_zones[zone] = short
+    short = total - fleet.count(spot) - sum(counts.values())
+    if usable:
+        for _ in range(min(short, MOST_RENTED)):
+            zone = min(
+                usable, key=lambda zone: (fleet.zones.get((zone, spot), 0) + counts[zone], zone)
+            )
+            counts[zone] += 1
+        missing = sum(missing_zones.values())
+    else:
+        missing = max(short, sum(missing_zones.values()), 0)
+    asks = [Ask(breed.label, zone, spot, number) for zone, number in counts.items() if number]
+    return asks, missing, missing_zones
 
 
 def returns(
-    wish: Wish | None, breed: Breed, machines: list[Machine], rules: RentRules, now: float
+    found: Wishes, breed: Breed, fleet: Fleet, rules: RentRules, growing: bool, now: float
 ) -> list[Machine]:
-    """Idle machines beyond what is wished; dearest and longest idle first."""
-    mine = [
-        machine for machine in machines
-        if counted(machine) and machine.breed is not None and machine.breed.label == breed.label
-    ]  # fmt: skip
-    spare = 1.0 + rules.headroom_share
-    either = wish.either * spare if wish else 0.0
-    ordinary = wish.ordinary * spare + 1 if wish else 1.0
-    have_spot = sum(1 for machine in mine if machine.spot)
-    have_ordinary = len(mine) - have_spot
-    want_ordinary = ordinary + max(0.0, either - have_spot)
+    """Idle machines beyond what is wished, the longest idle first.
+
+    An idle machine is kept for about as long as a new one would take to boot:
+    what it costs till then is what renting it anew would cost. When no jobs
+    come any more there is less to wait for.
+    """
+    cheap = found.get((breed.label, True), Wish())
+    plain = found.get((breed.label, False), Wish())
+    short_spot = max(0.0, cheap.total - fleet.count(True))
     extra = {
-        False: have_ordinary - math.ceil(want_ordinary),
-        True: have_spot - math.ceil(either),
+        False: fleet.count(False) - math.ceil(plain.total + short_spot),
+        True: fleet.count(True) - math.ceil(cheap.total),
     }
-    patience = rules.idle_boots * breed.ready_s
+    floor = {(zone, False): number for zone, number in plain.zones.items()}
+    floor.update({(zone, True): number for zone, number in cheap.zones.items()})
+    patience = rules.idle_boots * breed.ready_s * (1.0 if growing else IDLE_WHEN_QUIET)
     idle = [
-        machine for machine in mine
+        machine for machine in fleet.machines
         if machine.state is MachineState.READY and machine.empty
         and now - machine.idle_since > patience
     ]  # fmt: skip
     idle.sort(key=lambda machine: machine.idle_since)
+    left = dict(fleet.zones)
     chosen = []
     for machine in idle:
-        if extra[machine.spot] > 0:
+        key = (machine.zone, machine.spot)
+        if extra[machine.spot] > 0 and left[key] - 1 >= floor.get(key, 0.0):
             extra[machine.spot] -= 1
+            left[key] -= 1
             chosen.append(machine)
     return chosen
 
