--- a/tests/standins.py
+++ b/tests/standins.py
@@ -17,6 +17,7 @@
 import curio
 import msgspec
 from curio.kernel import Kernel
+from curio.task import Task as Task_
 
 from topazhold.control.node import Node
 from topazhold.io.http import NoAnswer, NotSent, Request
@@ -63,6 +64,10 @@
     monkeypatch.setattr(time, "monotonic", lambda: clock.now)
     monkeypatch.setattr(time, "time", lambda: 1.7e9 + clock.now)
     monkeypatch.setattr(time, "time_ns", lambda: int((1.7e9 + clock.now) * 1e9))
+    # curio keeps waiting tasks in sets; by their numbers the order is the same
+    # in every run, by their addresses it is not.
+    monkeypatch.setattr(Task_, "__hash__", lambda task: task.id)
+    monkeypatch.setattr(Task_, "_lastid", 1)
     kernel = Kernel(selector=clock)
     try:
         kernel.run(main, clock)
--- /dev/null
+++ b/tests/test_realm.py
@@ -0,0 +1,325 @@
+"""The queen's decisions, one at a time."""
+
+from __future__ import annotations
+
+from tests.conftest import Bench, make_spec
+from topazhold.core import recovery
+from topazhold.core.jobs import GangState, Job, JobState, RunState
+from topazhold.core.machines import MachineState
+
+
+def launched(calls: list) -> list[str]:
+    return [call.frame for call in calls if call.call == "launch"]
+
+
+def running_gang(bench: Bench, number: int = 1, **changes: object) -> Job:
+    job = bench.job(make_spec(number, **changes))
+    bench.hold(job, {"host-0": 1, "host-2": 1})
+    bench.plan()
+    bench.all_report()
+    for name in ("host-0", "host-2"):
+        bench.stage(name, "running")
+    bench.all_report()
+    bench.realm.tick(bench.now)
+    assert job.gang_state is GangState.RUNNING
+    return job
+
+
+def test_launch_only_after_the_intent(bench: Bench) -> None:
+    job = bench.job(make_spec())
+    bench.hold(job, {"host-0": 1, "host-2": 1})
+    runs = bench.realm.plan(bench.now)
+    assert len(runs) == 2
+    assert launched(bench.all_report()) == []
+    bench.realm.intents_written(runs, bench.now)
+    assert sorted(launched(bench.all_report())) == ["wk-000001/0", "wk-000001/1"]
+
+
+def test_lost_launch_is_repeated_on_the_same_machine(bench: Bench) -> None:
+    """The answer with the launch was dropped: the next report lacks the task."""
+    bench.job(make_spec(shape="batch", frames=1))
+    (run,) = bench.plan()
+    assert launched(bench.report(run.machine, carry_out=False)) == ["wk-000001/0"]
+    assert launched(bench.report(run.machine)) == ["wk-000001/0"]
+    assert run.state is RunState.ORDERED
+    bench.report(run.machine)
+    assert run.state is RunState.PULLING
+
+
+def test_direct_answer_proves_no_absence(bench: Bench) -> None:
+    """A direct command's answer may overtake the launch that is under way."""
+    bench.job(make_spec(shape="batch", frames=1))
+    (run,) = bench.plan()
+    bench.report(run.machine, carry_out=False)
+    bench.tallies[run.machine] += 1
+    from topazhold.wire.messages import Report
+
+    rep = Report(run.machine, "x:1", "b1", "a", False, 1, bench.tallies[run.machine], 5, [])
+    bench.realm.report(rep, True, bench.now)
+    assert run.state is RunState.ORDERED
+
+
+def test_failed_intents_do_not_use_the_hold_up(bench: Bench) -> None:
+    """A gang whose intents could not be written must start with the same hold."""
+    job = bench.job(make_spec())
+    bench.hold(job, {"host-0": 1, "host-2": 1})
+    bench.realm.intents_failed(bench.realm.plan(bench.now), bench.now)
+    assert job.gang_state is GangState.WAITING
+    assert bench.realm.usage.used("red") == (0.0, 0.0)
+    assert len(bench.plan()) == 2
+
+
+def test_machine_gone_gives_the_limit_back(bench: Bench) -> None:
+    """Runs of a gone machine must not count against their team any more."""
+    bench.job(make_spec(shape="batch", frames=1))
+    (run,) = bench.plan()
+    assert bench.realm.usage.used("red") == (4.0, 2.0)
+    bench.realm.machine_gone(run.machine, bench.now)
+    assert bench.realm.usage.used("red") == (0.0, 0.0)
+
+
+def test_silence_places_nothing_again(bench: Bench) -> None:
+    job = bench.job(make_spec(shape="batch", frames=1))
+    (run,) = bench.plan()
+    bench.report(run.machine)
+    bench.now += 500.0
+    for name in bench.realm.machines:
+        if name != run.machine:
+            bench.report(name)
+    bench.realm.tick(bench.now)
+    assert bench.plan() == []
+    assert run.machine in bench.realm.releases
+    bench.realm.machine_gone(run.machine, bench.now)
+    assert [new.index for new in bench.plan()] == [0]
+    assert job.runs[0].machine != run.machine
+
+
+def test_cut_zone_is_not_released(bench: Bench) -> None:
+    """Many machines silent at once are a cut, which proves nothing."""
+    bench = Bench(machines=8)
+    bench.now += 30.0
+    for name, machine in bench.realm.machines.items():
+        if machine.zone == "b":
+            bench.report(name)
+    bench.realm.tick(bench.now)
+    assert bench.realm.releases == {}
+
+
+def test_cancelled_task_takes_a_silent_machine_with_it(bench: Bench) -> None:
+    bench.job(make_spec(shape="batch", frames=1))
+    (run,) = bench.plan()
+    bench.report(run.machine)
+    bench.realm.job_over("wk-000001", False, bench.now, bench.now)
+    bench.now += bench.realm.cancel_s * 0.7
+    bench.realm.tick(bench.now)
+    assert run.machine in bench.realm.releases
+
+
+def test_lost_gang_member_stops_the_rest_and_the_gang_waits_again(bench: Bench) -> None:
+    job = running_gang(bench)
+    bench.frames["host-0"].clear()  # a new session: its tasks are gone
+    bench.report("host-0", flight=2)
+    bench.realm.tick(bench.now)
+    assert job.gang_state is GangState.STOPPING
+    calls = bench.report("host-2")
+    assert [call.call for call in calls] == ["kill"]
+    bench.stage("host-2", "ended", "stopped", kept=True)
+    bench.report("host-2")
+    bench.realm.tick(bench.now)
+    assert job.gang_state is GangState.WAITING
+    assert job.runs == {}
+
+
+def test_orderly_stop_tells_every_task_with_enough_grace(bench: Bench) -> None:
+    job = running_gang(bench)
+    bench.realm.stop_for_room(job.runs[0], "test", bench.now)
+    assert {run.stop_settle >= job.spec.seal_s for run in job.runs.values()} == {True}
+    assert bench.realm.strikes >= {"host-0", "host-2"}
+    assert all(bench.realm.kills(bench.realm.machines[n]) for n in ("host-0", "host-2"))
+
+
+def test_gang_not_running_a_report_period_after_its_images_is_stopped(bench: Bench) -> None:
+    job = bench.job(make_spec())
+    bench.hold(job, {"host-0": 1, "host-2": 1})
+    bench.plan()
+    bench.all_report()
+    for name in ("host-0", "host-2"):
+        bench.stage(name, "gathering")
+    bench.all_report()
+    bench.now += 1.6 * bench.realm.report_s
+    bench.realm.tick(bench.now)
+    assert job.gang_state is GangState.STOPPING
+
+
+def test_one_done_task_means_a_done_gang(bench: Bench) -> None:
+    job = running_gang(bench)
+    bench.stage("host-0", "ended", "done")
+    bench.report("host-0")
+    assert job.complete
+    assert bench.realm.finished == [job]
+
+
+def test_done_is_cleared_only_once_saved(bench: Bench) -> None:
+    job = bench.job(make_spec(shape="batch", frames=2, cards=4.0))
+    runs = bench.plan()
+    bench.all_report()
+    name = runs[0].machine
+    bench.stage(name, "ended", "done")
+    assert [call.call for call in bench.report(name)] == []
+    job.unsaved.clear()
+    bench.frames[name][("wk-000002/0", 9)] = bench.frames[name][next(iter(bench.frames[name]))]
+    assert [call.call for call in bench.report(name)] == ["clear"]
+
+
+def test_quota_counts_everything_from_the_intent_on(bench: Bench) -> None:
+    bench = Bench(machines=8)
+    bench.job(make_spec(crew="blue", shape="batch", frames=20, cards=1.0, vcpus=1.0))
+    assert len(bench.plan()) == 12  # blue's limit
+    bench.all_report()
+    assert bench.plan() == []
+
+
+def test_gang_gets_its_teams_limit_back_from_lower_work() -> None:
+    bench = Bench(machines=8)
+    bench.job(make_spec(1, crew="blue", shape="batch", frames=12, cards=1.0,
+                        urgency="best_effort"))  # fmt: skip
+    assert len(bench.plan()) == 12
+    bench.all_report()
+    gang = bench.job(make_spec(2, crew="blue", cards=2.0))
+    free = [
+        name for name, machine in bench.realm.machines.items()
+        if machine.zone == "a" and machine.empty
+    ] + [
+        name for name, machine in bench.realm.machines.items()
+        if machine.zone == "a" and not machine.empty and machine.free()[1] >= 2
+    ]  # fmt: skip
+    bench.hold(gang, dict.fromkeys(free[:2], 1))
+    bench.plan()
+    stopping = [run for run in bench.realm.jobs["wk-000001"].runs.values() if run.stopping]
+    assert len(stopping) == 4
+
+
+def test_urgent_gang_gets_room_and_equals_do_not() -> None:
+    bench = Bench(machines=2)
+    low = bench.job(make_spec(1, shape="batch", frames=2, cards=4.0, same_place=False,
+                              urgency="best_effort"))  # fmt: skip
+    assert len(bench.plan()) == 2
+    bench.all_report()
+    equal = bench.job(make_spec(2, frames=1, cards=4.0, urgency="best_effort", crew="red"))
+    bench.hold(equal, {"host-0": 1})
+    bench.plan()
+    assert not any(run.stopping for run in low.runs.values())
+    urgent = bench.job(make_spec(3, frames=1, cards=4.0, urgency="urgent"))
+    bench.hold(urgent, {"host-0": 1})
+    bench.plan()
+    assert [run.machine for run in low.runs.values() if run.stopping] == ["host-0"]
+
+
+def test_guests_holds_do_not_bind_better_work() -> None:
+    """Guest gangs that book everything must not starve work that goes first."""
+    bench = Bench(machines=2)
+    for number in (1, 2):
+        guest = bench.job(make_spec(number, frames=1, cards=4.0, crew="blue",
+                                    urgency="best_effort"))  # fmt: skip
+        bench.hold(guest, {f"host-{number - 1}": 1})
+    bench.realm.refresh_guarantees()
+    bench.realm.jobs["wk-000002"].within = False
+    first = bench.job(make_spec(3, frames=1, cards=4.0, urgency="urgent"))
+    bench.hold(first, {"host-1": 1})
+    runs = bench.plan()
+    assert ("wk-000003", "host-1") in {(run.job.id, run.machine) for run in runs}
+    assert ("wk-000002", "host-1") not in {(run.job.id, run.machine) for run in runs}
+
+
+def test_wrong_estimates_are_corrected_within_bounds(bench: Bench) -> None:
+    estimates = bench.realm.estimates
+    for _ in range(200):
+        estimates.learn("train", 10.0, 1000.0)
+    assert 2.5 < estimates.correction("train") <= 3.0
+    assert estimates.correction("other") == 1.0
+
+
+def test_sick_machine_leaves_and_a_bad_job_does_not_poison(bench: Bench) -> None:
+    realm = bench.realm
+    machine = realm.machines["host-0"]
+    for number in (1, 2):
+        realm._failed(machine, bench.job(make_spec(number)), bench.now)
+    assert machine.state is MachineState.DRAINING
+    bad = bench.job(make_spec(7))
+    for name in ("host-1", "host-2", "host-3"):
+        realm._failed(realm.machines[name], bad, bench.now)
+    assert bad.not_before > bench.now
+    for name in ("host-1", "host-2", "host-3"):
+        assert realm.machines[name].state is MachineState.READY
+        assert not realm.machines[name].error_jobs
+
+
+def test_notice_drains_and_saves(bench: Bench) -> None:
+    job = bench.job(make_spec(shape="batch", frames=1, forage_s=300.0))
+    (run,) = bench.plan()
+    bench.report(run.machine)
+    bench.stage(run.machine, "running")
+    bench.report(run.machine, smoke_s=20.0)
+    bench.realm.tick(bench.now)
+    assert run.stop_settle is not None and run.stop_settle >= job.spec.seal_s
+    assert bench.realm.machines[run.machine].state is MachineState.DRAINING
+
+
+def test_takeover_waits_for_a_report_under_the_new_crown() -> None:
+    """An intent may be running until its machine has reported under this crown."""
+    bench = Bench(machines=0, crown=8)
+    job = Job(make_spec(shape="batch", frames=1), bench.now, 1e9, "hive-0")
+    intents = [("host-0", 1, 7, [("wk-000001", 0, 77)], ("a", False, "b1"))]
+    recovery.take_over(bench.realm, [job], intents, bench.now)
+    bench.report("host-1")
+    assert bench.plan() == []
+    bench.report("host-0", crown=7)  # written before the worker saw the new crown
+    assert bench.plan() == []
+    bench.report("host-0")
+    assert [run.index for run in bench.plan()] == [0]
+
+
+def test_takeover_counts_aborted_jobs_tasks() -> None:
+    bench = Bench(machines=0, crown=8)
+    job = Job(make_spec(shape="batch", frames=1), bench.now, 1e9, "hive-0")
+    job.abort(bench.now)
+    intents = [("host-0", 1, 7, [("wk-000001", 0, 77)], ("a", False, "b1"))]
+    recovery.take_over(bench.realm, [job], intents, bench.now)
+    assert bench.realm.usage.used("red") == (4.0, 2.0)
+    bench.realm.tick(bench.now)
+    assert job.state is JobState.ABORTED and job.runs[0].stopping
+    bench.report("host-0")
+    assert bench.realm.usage.used("red") == (0.0, 0.0)
+
+
+def test_late_report_and_late_list_change_nothing(bench: Bench) -> None:
+    job = bench.job(make_spec(shape="batch", frames=1))
+    (run,) = bench.plan()
+    bench.report(run.machine)
+    bench.report(run.machine)
+    assert run.state is RunState.PULLING
+    bench.tallies[run.machine] -= 2
+    frames = bench.frames[run.machine]
+    bench.frames[run.machine] = {}
+    assert bench.report(run.machine) == []
+    assert job.runs[0] is run
+    bench.frames[run.machine] = frames
+    bench.realm.machine_gone("host-3", bench.now)
+    from topazhold.wire.messages import ListedBox
+
+    bench.realm.listed([ListedBox("host-3", "b1", "b", "running")], bench.now, bench.now)
+    assert "host-3" not in bench.realm.machines
+
+
+def test_hundred_thousand_tasks(bench: Bench) -> None:
+    job = bench.job(make_spec(shape="batch", frames=100_000, cards=0.0, vcpus=1.0))
+    assert len(bench.plan()) > 0
+    for index in range(0, 100_000, 2):
+        job.mark_done(index)
+    again = Job(job.spec, 0.0, 0.0, "")
+    for part in range(25):
+        text = job.part_text(part)
+        assert len(text) < 1024
+        if text:
+            again.load_part(part, text)
+    assert again.done == job.done and again.done_count == 50_000
--- /dev/null
+++ b/tests/test_search.py
@@ -0,0 +1,120 @@
+"""The search and the booking."""
+
+from __future__ import annotations
+
+from random import Random
+
+from tests.conftest import make_spec
+from topazhold.core import search
+from topazhold.core.holds import Hold, HoldBook, pack_value
+from topazhold.core.search import Offer, SearchRules
+
+RULES = SearchRules(2.0, 16, 20, distance_s=1.0, preference_s=0.5)
+ROOM = (16.0, 4.0, 64.0)
+
+
+def offer(name: str, zone: str, delay: float = 0.0, images: tuple[str, ...] = ()) -> Offer:
+    return Offer(name, zone, "b1", False, frozenset(images), [(delay, ROOM)], [], 2.0)
+
+
+def fleet(*offers: Offer) -> tuple[list[tuple[str, str]], dict[str, list[Offer]]]:
+    caches: dict[str, list[Offer]] = {}
+    for item in offers:
+        caches.setdefault(item.zone, []).append(item)
+    return [(item.name, item.zone) for item in offers], caches
+
+
+def find(spec, directory, caches, seed: int = 1, taken=None, tries: int = 2):
+    return search.search(
+        Random(seed), directory, caches, spec, 2, taken or {}, RULES, tries
+    )
+
+
+def test_takes_the_soonest_group_with_its_image() -> None:
+    directory, caches = fleet(
+        offer("m1", "a", 30.0), offer("m2", "a"), offer("m3", "a", images=("img-0",)),
+        offer("m4", "a", images=("img-0",)),
+    )  # fmt: skip
+    group = find(make_spec(frames=2, cards=4.0), directory, caches)
+    assert group is not None
+    assert group.slots == {"m3": 1, "m4": 1} and group.wait == 0.0
+
+
+def test_several_tasks_share_a_machine() -> None:
+    directory, caches = fleet(offer("m1", "a"), offer("m2", "a", 50.0))
+    group = find(make_spec(frames=2, cards=2.0), directory, caches)
+    assert group is not None and group.slots == {"m1": 2}
+
+
+def test_same_place_never_mixes_zones() -> None:
+    directory, caches = fleet(offer("m1", "a"), offer("m2", "b"), offer("m3", "b", 40.0))
+    for seed in range(20):
+        group = find(make_spec(frames=2, cards=4.0), directory, caches, seed)
+        assert group is None or set(group.slots) == {"m2", "m3"}
+
+
+def test_scatter_keeps_half_in_each_zone() -> None:
+    directory, caches = fleet(*(offer(f"m{n}", "ab"[n % 2]) for n in range(8)))
+    spec = make_spec(frames=5, cards=4.0, same_place=False, scatter=True)
+    for seed in range(20):
+        group = find(spec, directory, caches, seed)
+        assert group is not None
+        zones = [caches["a"][0].zone if int(name[1]) % 2 == 0 else "b" for name in group.slots]
+        assert max(zones.count("a"), zones.count("b")) <= 3
+
+
+def test_gathers_alpha_times_n_from_pivots_all_over_the_fleet() -> None:
+    directory, caches = fleet(*(offer(f"m{n:02d}", "abc"[n % 3]) for n in range(30)))
+    spec = make_spec(frames=4, cards=4.0, same_place=False)
+    seen = set()
+    for seed in range(30):
+        slots = search.gather(Random(seed), directory, caches, spec, 2, {}, RULES)
+        assert len(slots) == 8
+        seen |= {slot.offer.zone for slot in slots}
+    assert seen == {"a", "b", "c"}
+
+
+def test_swap_loop_beats_the_first_draw() -> None:
+    directory, caches = fleet(*(offer(f"m{n:02d}", "a", float(n)) for n in range(12)))
+    spec = make_spec(frames=4, cards=4.0)
+    slots = search.gather(Random(3), directory, caches, spec, 2, {}, RULES)
+    group = search.pick(Random(3), slots, spec, RULES)
+    assert group is not None and set(group.slots) == {"m00", "m01", "m02", "m03"}
+
+
+def test_held_room_is_left_alone() -> None:
+    directory, caches = fleet(offer("m1", "a"), offer("m2", "a", 5.0))
+    group = find(make_spec(frames=1, cards=4.0), directory, caches, taken={"m1": ROOM})
+    assert group is not None and group.slots == {"m2": 1}
+
+
+def hold(job: str, machine: str, rank: tuple[int, int] = (1, 2)) -> Hold:
+    return Hold(job, {machine: 1}, (4.0, 4.0, 8.0), 1.0, 1, 1.0, True, rank)
+
+
+def test_hold_round_trip_and_unreadable_ones() -> None:
+    book = HoldBook("hive-0")
+    value = pack_value([hold("wk-1", "m1")], "t")
+    value["holds"].append(["nonsense"])
+    book.read("hive-1", value, 7)
+    assert book.of_job("wk-1") is not None
+    assert book.taken("wk-2", (1, 2), lambda hold: True)["m1"] == (4.0, 4.0, 8.0)
+    assert book.taken("wk-2", (0, 2), lambda hold: True) == {}
+
+
+def test_booking_guards_all_other_holds() -> None:
+    book = HoldBook("hive-0")
+    book.read("hive-1", pack_value([], "t"), 7)
+    assert book.guards() == [("hold/hive-0", 0), ("hold/hive-1", 7)]
+    book.lapse("hive-1", 9)
+    assert book.guards() == [("hold/hive-0", 0)]
+
+
+def test_offer_round_trip() -> None:
+    item = Offer(
+        "m1", "a", "b1", True, frozenset({"x", "y"}), [(0.0, ROOM), (9.5, ROOM)],
+        [(1, 2.0, ROOM)], 2.0,
+    )  # fmt: skip
+    again = search.unpack_offer("a", item.pack())
+    assert again.pack() == item.pack()
+    assert [delay for delay, _ in again.ladder(1, None)] == [0.0, 2.0, 9.5]
--- a/tests/world.py
+++ b/tests/world.py
@@ -209,7 +209,7 @@
             spec["lane"] = "broken"
         job = spec["id"]
         self.specs[job] = spec
-        self.run_s[job] = rng.uniform(2.0, 15.0)
+        self.run_s[job] = 45.0 if rng.random() < 0.1 else rng.uniform(2.0, 15.0)
         cancel_at = self.clock.now + rng.uniform(1.0, 30.0) if rng.random() < 0.25 else None
         if spec["lane"] == "broken":
             cancel_at = self.clock.now + 25.0
--- a/topazhold/control/booking.py
+++ b/topazhold/control/booking.py
@@ -188,7 +188,7 @@
 
     async def read_book(self) -> None:
         """All controllers' holds, as the state service has them."""
-        entries, _ = await self._store.list(HOLD_PREFIX)
+        entries, _ = await self._store.entries(HOLD_PREFIX)
         self.book.replace(
             {entry.key[len(HOLD_PREFIX):]: (entry.data, entry.mark) for entry in entries}
         )  # fmt: skip
--- a/topazhold/control/node.py
+++ b/topazhold/control/node.py
@@ -362,7 +362,7 @@
         self.view.at = now
 
     async def _fetch_summary(self, now: float) -> None:
-        entries, _ = await self.store.list(records.SUMMARY_PREFIX)
+        entries, _ = await self.store.entries(records.SUMMARY_PREFIX)
         values = {
             entry.key[len(records.SUMMARY_PREFIX):].replace("*", ""): entry.data
             for entry in entries
--- a/topazhold/control/reign.py
+++ b/topazhold/control/reign.py
@@ -143,11 +143,11 @@
         while not self._breeds:
             await curio.sleep(self._retry_s)
         realm = self.realm
-        entries, self._harvest[HOLD_PREFIX] = await self._store.list(HOLD_PREFIX, LEASES)
+        entries, self._harvest[HOLD_PREFIX] = await self._store.entries(HOLD_PREFIX, LEASES)
         realm.book.replace(
             {entry.key[len(HOLD_PREFIX):]: (entry.data, entry.mark) for entry in entries}
         )  # fmt: skip
-        live, self._harvest[records.LIVE_PREFIX] = await self._store.list(
+        live, self._harvest[records.LIVE_PREFIX] = await self._store.entries(
             records.LIVE_PREFIX, LEASES
         )
         clock, wall = await curio.clock(), time.time()
@@ -155,7 +155,7 @@
         for job in jobs:
             if records.parts_of(job) > 1:
                 await self._load_parts(job)
-        ons, _ = await self._store.list(records.ON_PREFIX, LEASES)
+        ons, _ = await self._store.entries(records.ON_PREFIX, LEASES)
         intents = []
         for entry in ons:
             name = entry.key[len(records.ON_PREFIX):]  # fmt: skip
@@ -168,7 +168,7 @@
 
     async def _load_parts(self, job: Job) -> None:
         prefix = f"{records.PART_PREFIX}{job.id}/"
-        parts, _ = await self._store.list(prefix, LEASES)
+        parts, _ = await self._store.entries(prefix, LEASES)
         for entry in parts:
             job.load_part(int(entry.key[len(prefix):]), str(entry.data.get("done", "")))
 
--- a/topazhold/control/store.py
+++ b/topazhold/control/store.py
@@ -116,7 +116,7 @@
             raise StoreDown(f"status {status}")
         return read(body, Entry)
 
-    async def list(self, prefix: str, rank: float = DECISIONS) -> tuple[list[Entry], int]:
+    async def entries(self, prefix: str, rank: float = DECISIONS) -> tuple[list[Entry], int]:
         """All entries under a prefix, and the revision of the first page."""
         entries: list[Entry] = []
         after: str | None = None
--- a/topazhold/core/realm.py
+++ b/topazhold/core/realm.py
@@ -616,13 +616,15 @@
                     self._stop_gang(run.job, 0.0, "machine will be taken", now)
                 else:
                     self._drop(run, now)
-            elif run.state is not RunState.RUNNING:
-                self.stop_for_room(run, "machine will be taken", now)
-            elif run.job.spec.cap_s > 0 and self.remaining_s(run, now) > left - self.report_s:
+            elif run.state is not RunState.RUNNING or self._would_lose(run, left, now):
                 self.stop_for_room(run, "machine will be taken", now)
         if machine.empty and left < 0:
             self.release(machine, "taken", now)
 
+    def _would_lose(self, run: Run, left: float, now: float) -> bool:
+        """Whether a task on a machine with so much time left had better save now."""
+        return run.job.spec.cap_s > 0 and self.remaining_s(run, now) > left - self.report_s
+
     def remaining_s(self, run: Run, now: float) -> float:
         spec = run.job.spec
         elapsed = run.job.progress_s
--- a/topazhold/core/recovery.py
+++ b/topazhold/core/recovery.py
@@ -16,10 +16,10 @@
 Intents = tuple[str, int, int, list[tuple[str, int, int]], tuple[str, bool, str]]
 
 
-def missing_jobs(jobs: Iterable[str], intents: Iterable[Intents]) -> set[str]:
+def missing_jobs(jobs: Iterable[str], intents: Iterable[Intents]) -> list[str]:
     """Jobs named by intents that are not live: they are over, and must be read."""
     known = set(jobs)
-    return {job for _, _, _, runs, _ in intents for job, _, _ in runs} - known
+    return sorted({job for _, _, _, runs, _ in intents for job, _, _ in runs} - known)
 
 
 def read_intents(machine: str, data: object, mark: int) -> Intents:
--- a/topazhold/core/renting.py
+++ b/topazhold/core/renting.py
@@ -89,6 +89,10 @@
         if zone is not None:
             self.zones[zone] = self.zones.get(zone, 0.0) + machines
 
+    def at_least(self, machines: float, zone: str) -> None:
+        """A zone must be able to take so much at once; others may use it in turn."""
+        self.zones[zone] = max(self.zones.get(zone, 0.0), machines)
+
     def scale(self, factor: float) -> None:
         self.total *= factor
         for zone in self.zones:
@@ -108,6 +112,10 @@
     Headroom is kept only while jobs keep coming.
     """
     found: Wishes = {}
+    gangs: list[tuple[Wish, Job, float, Breed]] = []
+    counts: dict[str, int] = {}
+    for zone in zone_of.values():
+        counts[zone] = counts.get(zone, 0) + 1
     room = {name: team.gpus_max or math.inf for name, team in teams.items()}
     for job in sorted(jobs, key=lambda job: (not job.within, job.level, job.arrived)):
         if job.state is not JobState.LIVE:
@@ -125,7 +133,18 @@
         machines = tasks / times_fits(job.need, whole, 1 << 20)
         spot = job.spec.drones and rules.use_spot and breed.market_price is not None
         wish = found.setdefault((breed.label, spot), Wish())
-        wish.add(machines, _bound_zone(job, zone_of))
+        bound = _bound_zone(job, zone_of)
+        wish.add(machines, bound)
+        if bound is None and job.gang and not job.runs:
+            gangs.append((wish, job, machines, breed))
+    for wish, job, machines, breed in gangs:
+        # Room that is there, but in the wrong zones, lets no gang start.
+        by_size = sorted(breed.apiaries, key=lambda zone: -counts.get(zone, 0))
+        if job.spec.same_place:
+            wish.at_least(machines, by_size[0])
+        elif job.spec.scatter and len(by_size) > 1:
+            for zone in by_size[:2]:
+                wish.at_least(machines / 2, zone)
     for wish in found.values():
         wish.scale(1.0 + (rules.headroom_share if growing else 0.0))
     return found
--- a/topazhold/io/http.py
+++ b/topazhold/io/http.py
@@ -94,7 +94,8 @@
             else:
                 answer = await self._answer(request)
             body = b"" if answer.body is None else pack(answer.body)
-            out = conn.send(h11.Response(status_code=answer.status, headers=answer.headers(len(body))))
+            headers = answer.headers(len(body))
+            out = conn.send(h11.Response(status_code=answer.status, headers=headers))
             out += conn.send(h11.Data(data=body)) + conn.send(h11.EndOfMessage())
             await sock.sendall(out)
             if answer.close or conn.our_state is not h11.DONE or conn.their_state is not h11.DONE:
--- a/topazhold/io/rate.py
+++ b/topazhold/io/rate.py
@@ -4,7 +4,7 @@
 
 
 class Bucket:
-    """Refills at `rate`, holds `rate` × `burst_s` at most."""
+    """Refills at `rate`, holds `rate` times `burst_s` at most."""
 
     def __init__(self, rate: float, burst_s: float = 1.0) -> None:
         self._rate = rate
