One order of ranks for stopping others; planning can't hang

(2) a condition's lock was lost when two time limits ended in one wait, and the queen planned nothing more (seed 1155); an event replaces it.

--- a/topazhold/control/booking.py
+++ b/topazhold/control/booking.py
@@ -114,7 +114,7 @@
     def _search(self, wanted: Wanted, view: View, draft: HoldBook) -> Group | None:
         taken = draft.taken(wanted.spec.id, wanted.rank, lambda hold: True)
         return search(
-            self._rng, view.directory, view.caches, wanted.spec, wanted.rank[1], taken,
+            self._rng, view.directory, view.caches, wanted.spec, wanted.rank, taken,
             self.rules, self._tries,
         )  # fmt: skip
 
--- a/topazhold/control/node.py
+++ b/topazhold/control/node.py
@@ -26,6 +26,7 @@
 from topazhold.core.holds import HoldBook
 from topazhold.core.jobs import Job
 from topazhold.core.leadership import CROWN_KEY, QUEEN_KEY, Leadership, Role, read_value
+from topazhold.core.preemption import rank
 from topazhold.io.http import Answer, Client, Request, Server
 from topazhold.io.links import Link, Listener
 from topazhold.settings import Operator, Settings, address
@@ -419,7 +420,7 @@
                 continue
             if alone and not reign.realm.needs_hold(job):
                 continue
-            wanted[job.id] = Wanted(job.spec, reign.realm.rank(job), job.arrived)
+            wanted[job.id] = Wanted(job.spec, rank(job), job.arrived)
             hold = self.booking.mine.get(job.id)
             if hold is not None and reign.realm.spent(job, hold):
                 del self.booking.mine[job.id]
@@ -439,11 +440,11 @@
                     hold = booking.mine.get(job_id)
                     if hold is not None and time.time() - hold.made > self.operator.summary_s:
                         del booking.mine[job_id]  # refused, or used up
-        for job_id, (node, rank, _) in waiting.items():
+        for job_id, (node, job_rank, _) in waiting.items():
             if node == self.name and job_id not in booking.wanted:
                 spec = await self._read_spec(job_id)
                 if spec is not None:
-                    booking.wanted[job_id] = Wanted(spec, rank, now)
+                    booking.wanted[job_id] = Wanted(spec, job_rank, now)
 
     async def _read_spec(self, job_id: str) -> JobSpec | None:
         entry = await self.store.get(records.live_key(job_id), DECISIONS)
--- a/topazhold/control/reign.py
+++ b/topazhold/control/reign.py
@@ -27,6 +27,7 @@
 from topazhold.core.jobs import Job, JobState, Run, RunState
 from topazhold.core.leadership import QUEEN_KEY
 from topazhold.core.machines import Machine
+from topazhold.core.preemption import rank
 from topazhold.core.realm import Realm
 from topazhold.core.renting import Ask
 from topazhold.core.search import pack_summary
@@ -79,7 +80,7 @@
         self._value_limit = int(settings.cluster.state.value_kb * 1024 * 0.9)
         self._txn_ops = settings.cluster.state.txn_ops
         self._wake = curio.Event()
-        self._planned = curio.Condition()
+        self._round = curio.Event()  # set, and replaced, at the end of a planning round
         self._sequence = 0
         self._asks = 0
         self._striking: set[str] = set()
@@ -180,13 +181,10 @@
 
     async def plan_now(self, limit_s: float) -> None:
         """Let one round of planning pass, so that a report's answer can launch."""
+        # An event, not a condition: a condition's lock was lost when two time
+        # limits ended in one wait, and planning stood still for good.
         await self._wake.set()
-
-        async def passed() -> None:
-            async with self._planned:
-                await self._planned.wait()
-
-        await curio.ignore_after(limit_s, passed)
+        await curio.ignore_after(limit_s, self._round.wait)
 
     async def hear(self, rep: Report, direct: bool = False) -> tuple[Machine | None, list[Call]]:
         """A worker's report; the commands for its answer."""
@@ -281,8 +279,8 @@
                 if not runs:
                     break
                 await self._write_intents(runs)
-            async with self._planned:
-                await self._planned.notify_all()
+            passed, self._round = self._round, curio.Event()
+            await passed.set()
 
     async def _write_intents(self, runs: list[Run]) -> None:
         """Commit the intents of a plan, a few machines at a time, before any launch."""
@@ -576,7 +574,7 @@
             names = [name for name, of_zone in realm.directory() if of_zone == zone]
             values[zone] = {"cache": cache, "all": names[:40]}
         waiting = [
-            [job.id, job.node, *realm.rank(job), realm.needs_hold(job)]
+            [job.id, job.node, *rank(job), realm.needs_hold(job)]
             for job in realm.waiting_gangs(now)[:MOST_TOLD]
         ]
         running: dict[str, int] = {}
--- a/topazhold/core/preemption.py
+++ b/topazhold/core/preemption.py
@@ -7,13 +7,30 @@
 from topazhold.core.quota import Usage
 
 
+def rank(job: Job) -> tuple[int, int]:
+    """The order in which work goes: within a guarantee first, then by urgency."""
+    return (0 if job.within else 1, job.level)
+
+
+def behind(first: tuple[int, int], victim: Job) -> bool:
+    """Whether work of rank `first` might stop the victim, teams left aside."""
+    if first >= rank(victim):
+        return False
+    return victim.level > first[1] or (first[0] == 0 and not victim.within)
+
+
 def may_stop(job: Job, victim: Job, usage: Usage) -> bool:
-    """Higher priority, or a guarantee against what another team borrows."""
+    """Higher priority, or a guarantee against what another team borrows.
+
+    Both only against work that ranks behind: else urgent work beyond a
+    guarantee and low work within one stop each other in turn for ever.
+    """
+    if rank(job) >= rank(victim):
+        return False
     if victim.level > job.level:
         return True
     return (
         job.within
-        and not victim.within
         and victim.spec.crew != job.spec.crew
         and usage.beyond_guarantee(victim.spec.crew)
     )
--- a/topazhold/core/realm.py
+++ b/topazhold/core/realm.py
@@ -26,7 +26,7 @@
     RunState,
 )
 from topazhold.core.machines import Machine, MachineState, fits, plus, times_fits
-from topazhold.core.search import CACHE_LENGTH, Offer, allowed, sooner
+from topazhold.core.search import CACHE_LENGTH, Offer, Rank, allowed, sooner
 from topazhold.settings import Operator, Settings
 from topazhold.wire import messages as wire
 from topazhold.wire.messages import Breed, Call, FrameReport, ListedBox, Report
@@ -634,9 +634,6 @@
 
     # -- planning ------------------------------------------------------------
 
-    def rank(self, job: Job) -> tuple[int, int]:
-        return (0 if job.within else 1, job.level)
-
     def refresh_guarantees(self) -> None:
         if self._guaranteed_stale:
             live = [job for job in self.jobs.values() if job.state is JobState.LIVE]
@@ -684,7 +681,8 @@
         return [
             run for other in self.jobs.values()
             if other.spec.crew == job.spec.crew and other.level > job.level
-            and self.rank(other) > self.rank(job)  # else it would be placed again at once
+            # Work that ranks before the gang would be placed again at once.
+            and preemption.rank(other) > preemption.rank(job)
             for run in other.runs.values()
             if run.present and not (other.gang and other.gang_state is GangState.STARTING)
         ]  # fmt: skip
@@ -718,7 +716,7 @@
             if job.state is JobState.LIVE and job.waiting_count > 0 and job.not_before <= now
             and not (job.gang and job.gang_state is not GangState.WAITING)
         ]  # fmt: skip
-        jobs.sort(key=lambda job: (self.rank(job), self._due(job), job.id))
+        jobs.sort(key=lambda job: (preemption.rank(job), self._due(job), job.id))
         return jobs
 
     def _due(self, job: Job) -> float:
@@ -759,7 +757,7 @@
             return
         if not self._limit_reachable(job):
             return
-        taken = self.book.taken(job.id, self.rank(job), self._binding)
+        taken = self.book.taken(job.id, preemption.rank(job), self._binding)
         short: list[tuple[Machine, Room]] = []
         for name, count in hold.slots.items():
             machine = self.machines[name]
@@ -852,7 +850,7 @@
         self, job: Job, planned: list[Run], touched: set[str], now: float
     ) -> None:
         spec = job.spec
-        taken = self.book.taken(job.id, self.rank(job), self._binding)
+        taken = self.book.taken(job.id, preemption.rank(job), self._binding)
         places = self._array_places(job, taken, now)
         zones = job.zones_used(self.zone_of) if spec.same_place or spec.scatter else {}
         most_in_zone = (spec.frames + 1) // 2
@@ -1002,7 +1000,7 @@
     def _offer(self, machine: Machine, now: float) -> Offer | None:
         assert machine.breed is not None
         rungs: list[tuple[float, Room]] = []
-        evictable: list[tuple[int, float, Room]] = []
+        evictable: list[tuple[Rank, float, Room]] = []
         if machine.state is MachineState.STARTING:
             wait = machine.breed.ready_s - (now - machine.rented_at)
             rungs.append((max(wait, 2 * self.report_s), machine.total))
@@ -1033,21 +1031,24 @@
             frozenset(machine.images), rungs, evictable, machine.breed.fetch_gb_per_s,
         )  # fmt: skip
 
-    def _evictable(self, machine: Machine) -> list[tuple[int, float, Room]]:
-        """Room that work of each urgency could take from lower ones."""
+    def _evictable(self, machine: Machine) -> list[tuple[Rank, float, Room]]:
+        """Room that work of each rank could take from work behind it."""
+        runs = [
+            run for run in machine.runs.values()
+            if not (run.job.gang and run.job.gang_state is GangState.STARTING)
+        ]  # fmt: skip
         found = []
-        for level in range(len(wire.URGENCIES) - 1):
-            room = NO_ROOM
-            delay = self.report_s
-            for run in machine.runs.values():
-                if run.present and run.job.level > level:
-                    if run.job.gang and run.job.gang_state is GangState.STARTING:
-                        continue
-                    room = plus(room, run.job.need)
-                    if run.job.spec.cap_s > 0:
-                        delay = max(delay, self.report_s + run.job.spec.seal_s)
-            if room != NO_ROOM:
-                found.append((level, delay, room))
+        for outside in (0, 1):
+            for level in range(len(wire.URGENCIES)):
+                room = NO_ROOM
+                delay = self.report_s
+                for run in runs:
+                    if preemption.behind((outside, level), run.job):
+                        room = plus(room, run.job.need)
+                        if run.job.spec.cap_s > 0:
+                            delay = max(delay, self.report_s + run.job.spec.seal_s)
+                if room != NO_ROOM:
+                    found.append(((outside, level), delay, room))
         return found
 
     def directory(self) -> list[tuple[str, str]]:
--- a/topazhold/core/search.py
+++ b/topazhold/core/search.py
@@ -18,6 +18,9 @@
 from topazhold.core.machines import fits, plus, times_fits
 from topazhold.wire.messages import JobSpec
 
+#: (outside its guarantee, urgency): smaller goes first.
+Rank = tuple[int, int]
+
 #: Machines in a zone's cache.
 CACHE_LENGTH = 20
 
@@ -29,7 +32,7 @@
 
     def __init__(
         self, name: str, zone: str, breed: str, spot: bool, images: frozenset[str],
-        rungs: list[tuple[float, Room]], evictable: list[tuple[int, float, Room]],
+        rungs: list[tuple[float, Room]], evictable: list[tuple[Rank, float, Room]],
         fetch_rate: float,
     ) -> None:  # fmt: skip
         self.name = name
@@ -38,15 +41,15 @@
         self.spot = spot
         self.images = images
         self.rungs = rungs  # (seconds from now, room free then)
-        self.evictable = evictable  # (urgency, seconds, room that it may take from others)
+        self.evictable = evictable  # (rank, seconds, room that it may take from others)
         self.fetch_rate = fetch_rate
 
-    def ladder(self, level: int, held: Room | None) -> list[tuple[float, Room]]:
-        """Room over time for work of an urgency, less what others hold."""
+    def ladder(self, rank: Rank, held: Room | None) -> list[tuple[float, Room]]:
+        """Room over time for work of a rank, less what others hold."""
         rungs = list(self.rungs)
         if rungs:
-            for of_level, delay, room in self.evictable:
-                if of_level == level:
+            for of_rank, delay, room in self.evictable:
+                if of_rank == rank:
                     rungs.append((delay, plus(rungs[0][1], room)))
         if held is not None:
             rungs = [(delay, plus(room, held, -1.0)) for delay, room in rungs]
@@ -58,8 +61,8 @@
             self.name, self.breed, self.spot, sorted(self.images),
             [[round(delay, 1), *(round(part, 3) for part in room)] for delay, room in self.rungs],
             [
-                [level, round(delay, 1), *(round(part, 3) for part in room)]
-                for level, delay, room in self.evictable
+                [*rank, round(delay, 1), *(round(part, 3) for part in room)]
+                for rank, delay, room in self.evictable
             ],
             round(self.fetch_rate, 3),
         ]  # fmt: skip
@@ -72,7 +75,10 @@
         return Offer(
             str(name), zone, str(breed), bool(spot), frozenset(images),
             [(float(r[0]), (float(r[1]), float(r[2]), float(r[3]))) for r in rungs],
-            [(int(e[0]), float(e[1]), (float(e[2]), float(e[3]), float(e[4]))) for e in evictable],
+            [
+                ((int(e[0]), int(e[1])), float(e[2]), (float(e[3]), float(e[4]), float(e[5])))
+                for e in evictable
+            ],
             float(rate),
         )  # fmt: skip
     except (TypeError, IndexError) as exc:
@@ -131,7 +137,7 @@
 
 
 def offer_slots(
-    offer: Offer, spec: JobSpec, level: int, held: Room | None, most: int, rules: SearchRules
+    offer: Offer, spec: JobSpec, rank: Rank, held: Room | None, most: int, rules: SearchRules
 ) -> list[Slot]:
     """Up to `most` slots of one machine, soonest first."""
     if not allowed(spec, offer.breed, offer.zone, offer.spot):
@@ -141,7 +147,7 @@
     if spec.comb not in offer.images:
         fetch = spec.image_gb / offer.fetch_rate if offer.fetch_rate > 0 else 0.0
     slots: list[Slot] = []
-    for delay, room in offer.ladder(level, held):
+    for delay, room in offer.ladder(rank, held):
         count = times_fits(need, room, most)
         cost = 0.0
         if spec.drones and not offer.spot:
@@ -156,7 +162,7 @@
 
 def gather(
     rng: Random, directory: Sequence[tuple[str, str]], caches: Mapping[str, Sequence[Offer]],
-    spec: JobSpec, level: int, taken: Mapping[str, Room], rules: SearchRules,
+    spec: JobSpec, rank: Rank, taken: Mapping[str, Room], rules: SearchRules,
 ) -> list[Slot]:  # fmt: skip
     """Alpha·N candidate slots from a random pivot's cache and those it leads to."""
     want = max(spec.frames, math.ceil(rules.alpha * spec.frames))
@@ -171,7 +177,7 @@
         visited.add(zone)
         near: list[Slot] = []
         for offer in caches.get(zone, ()):
-            near += offer_slots(offer, spec, level, taken.get(offer.name), spec.frames, rules)
+            near += offer_slots(offer, spec, rank, taken.get(offer.name), spec.frames, rules)
         near.sort(key=lambda slot: (slot.ready + slot.cost, slot.nth))
         if spec.same_place:
             if len(near) >= spec.frames:
@@ -271,12 +277,12 @@
 
 def search(
     rng: Random, directory: Sequence[tuple[str, str]], caches: Mapping[str, Sequence[Offer]],
-    spec: JobSpec, level: int, taken: Mapping[str, Room], rules: SearchRules, tries: int,
+    spec: JobSpec, rank: Rank, taken: Mapping[str, Room], rules: SearchRules, tries: int,
 ) -> Group | None:  # fmt: skip
     """The best group of a few independent searches, each from its own pivot."""
     best: Group | None = None
     for _ in range(tries):
-        slots = gather(rng, directory, caches, spec, level, taken, rules)
+        slots = gather(rng, directory, caches, spec, rank, taken, rules)
         group = pick(rng, slots, spec, rules) if slots else None
         if group is not None and (best is None or group.score < best.score):
             best = group
