Followers keep workers that the queen can't reach; a cut queen resigns

Now they answer with the known crown and no commands, and pass reports on; a queen whom hardly any worker reaches resigns; a new queen tells workers of her crown directly. Ruled out: the election itself (20 ms after the lapse).

--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,70 @@
+"""Which workers a follower keeps when the queen can't reach them."""
+
+from __future__ import annotations
+
+from topazhold.control.relay import Shelter
+from topazhold.core.leadership import Leadership, Role
+from topazhold.wire.messages import Report
+
+
+def report(crown: int = 7, box: str = "host-1") -> Report:
+    return Report(box, "h:1", "b1", "a", False, 1, 1, crown, [])
+
+
+def follower(queen: str | None = "hive-1", crown: int = 7) -> tuple[Shelter, Leadership]:
+    lead = Leadership("hive-0")
+    lead.crown, lead.queen = crown, queen
+    return Shelter(lead, grant_s=2.0, lease_s=10.0, now=0.0), lead
+
+
+def test_sends_workers_to_a_queen_that_lives() -> None:
+    shelter, _ = follower()
+    shelter.heard("hive-1", [], 5.0)
+    assert not shelter.keeps(report(), 5.5)
+
+
+def test_keeps_workers_of_a_silent_queen_and_of_none() -> None:
+    shelter, lead = follower()
+    shelter.heard("hive-1", [], 5.0)
+    assert shelter.keeps(report(), 9.0)
+    lead.queen = None
+    assert shelter.keeps(report(), 9.0)
+
+
+def test_never_keeps_a_worker_that_saw_another_crown() -> None:
+    """A 200 with a lower crown would be dropped while the lease runs out."""
+    shelter, _ = follower()
+    assert not shelter.keeps(report(crown=8), 9.0)
+    assert not shelter.keeps(report(crown=6), 9.0)
+    none, _ = follower(queen=None, crown=0)
+    assert not none.keeps(report(crown=0), 9.0)
+
+
+def test_tries_the_queen_again_once_per_lease() -> None:
+    shelter, _ = follower()
+    answers = []
+    for second in range(30):
+        shelter.heard("hive-1", ["host-1"], float(second))
+        answers.append(shelter.keeps(report(), float(second)))
+    assert answers[0] and answers.count(False) == 2
+    shelter.heard("hive-1", [], 30.0)
+    assert not shelter.keeps(report(), 30.0)
+
+
+def test_reports_are_passed_on_in_parts_that_fit() -> None:
+    shelter, _ = follower()
+    for number in range(10):
+        shelter.keep(report(box=f"host-{number}"))
+    seen = []
+    while part := shelter.take(500):
+        seen += [item["box"] for item in part]
+    assert seen == [f"host-{number}" for number in range(10)]
+
+
+def test_leadership_never_goes_back() -> None:
+    lead = Leadership("hive-0")
+    lead.stand()
+    lead.win(4, 100)
+    assert not lead.learn("hive-1", 3) and lead.reigning
+    assert lead.learn("hive-1", 5) and lead.role is Role.FOLLOWER
+    assert not lead.learn("hive-2", 4) and lead.queen == "hive-1"
--- a/topazhold/control/node.py
+++ b/topazhold/control/node.py
@@ -13,6 +13,7 @@
 from topazhold.control.booking import Booking, View, Wanted
 from topazhold.control.cloud import Cloud, CloudDown
 from topazhold.control.reign import Reign
+from topazhold.control.relay import Shelter
 from topazhold.control.store import (
     DECISIONS,
     LEASES,
@@ -43,6 +44,8 @@
 DRIFT = 0.002
 #: The catalog's prices move slowly.
 CATALOG_REPORTS = 60
+#: Unheard machines named in a ping.
+MOST_SILENT = 100
 
 
 class Node:
@@ -77,6 +80,10 @@
         self.users = Users(
             settings, self.store, self.breeds, self._accepted, self._running_count
         )
+        self.shelter = Shelter(
+            self.leadership, self.grant_s, cluster.workers.lease_s, time.monotonic()
+        )
+        self.barred_until = 0.0
         self.reign: Reign | None = None
         self.permit: int | None = None
         self.valid_until = 0.0
@@ -116,7 +123,7 @@
         async with curio.TaskGroup(wait=any) as group:
             for loop in (
                 self._lease_loop, self._queen_loop, self._reign_loop, self._catalog_loop,
-                self._ping_loop, self._booking_loop,
+                self._ping_loop, self._booking_loop, self._relay_loop, self._resign_loop,
             ):  # fmt: skip
                 await group.spawn(loop)
         if group.exception is not None:
@@ -157,6 +164,9 @@
             lead.queen = None
             return Answer(421, wire.redirect(None))
         if reign is None or not lead.reigning:
+            if self.shelter.keeps(rep, await curio.clock()):
+                self.shelter.keep(rep)
+                return Answer(200, Orders(lead.crown, []))
             queen = lead.queen if lead.queen != self.name else None
             return Answer(421, wire.redirect(queen))
         if not reign.loaded:
@@ -212,7 +222,9 @@
                 harvest = entry.mark if entry is not None else None
                 if entry is None:
                     self.leadership.vacant()
-                    if self.permit is not None and self.leadership.role is Role.FOLLOWER:
+                    free = self.leadership.role is Role.FOLLOWER
+                    barred = await curio.clock() < self.barred_until
+                    if self.permit is not None and free and not barred:
                         await self._stand()
                     else:
                         await curio.sleep(0.05 * self.grant_s)
@@ -332,7 +344,10 @@
 
     async def _ping(self) -> None:
         lead = self.leadership
-        await self._tell(("ping", self.name, lead.crown, lead.queen or ""))
+        silent: list[str] | None = None
+        if self.reign is not None and self.reign.loaded:
+            silent = self.reign.realm.unreached(await curio.clock())[:MOST_SILENT]
+        await self._tell(("ping", self.name, lead.crown, lead.queen or "", silent))
 
     async def _ping_loop(self) -> None:
         while True:
@@ -343,15 +358,60 @@
         """A message of another controller: hints only."""
         tag = message[0]
         if tag == "ping":
-            _, _, crown, queen = message
+            _, peer, crown, queen, silent = message
+            from_queen = silent is not None and peer == queen
+            self.shelter.heard(
+                str(peer), [str(name) for name in silent] if from_queen else None,
+                await curio.clock(),
+            )
             if queen and int(crown) >= self.leadership.crown:
                 if self.leadership.learn(str(queen), int(crown)):
                     await self._depose("a peer follows a later queen")
+        elif tag == "relay":
+            _, crown, reports = message
+            if self.reign is not None and self.reign.crown == int(crown):
+                await self.reign.relayed(reports)
         elif tag == "summary":
             _, crown, values = message
             if int(crown) >= self.leadership.crown and self.reign is None:
                 self._read_summary(values, await curio.clock())
 
+    # -- workers that the queen can't reach ----------------------------------------
+
+    async def _relay_loop(self) -> None:
+        """Pass sheltered workers' reports on: by the link, or the state service."""
+        limit = int(self.settings.cluster.state.value_kb * 1024 * 0.9)
+        while True:
+            await curio.sleep(self.report_s)
+            reports = self.shelter.take(limit)
+            lead = self.leadership
+            link = self.links.get(lead.queen or "")
+            if not reports or link is None:
+                continue
+            if not self.shelter.queen_cut(await curio.clock()):
+                await link.send(("relay", lead.crown, reports))
+                continue
+            value = {"crown": lead.crown, "reports": reports}
+            change = wire.put(records.RELAY_PREFIX + self.name, value, self.permit)
+            try:
+                await self.store.multi([], [change], DECISIONS)
+            except (*TROUBLE, Conflict) as exc:
+                log.debug("reports not relayed: %s", exc)
+
+    async def _resign_loop(self) -> None:
+        """A queen that hardly hears any worker, while others do, makes room."""
+        lease_s = self.settings.cluster.workers.lease_s
+        while True:
+            await curio.sleep(0.5 * self.grant_s)
+            reign = self.reign
+            now = await curio.clock()
+            if reign is None or not reign.loaded or not reign.realm.cut_from_workers(now):
+                continue
+            log.info("node %s hears too few of the workers that others hear", self.name)
+            self.barred_until = now + 2 * lease_s
+            await self._depose("cut from the workers")
+            await self._drop_lease()
+
     # -- booking ---------------------------------------------------------------
 
     def _read_summary(self, values: dict[str, Any], now: float) -> None:
--- a/topazhold/control/reign.py
+++ b/topazhold/control/reign.py
@@ -34,7 +34,7 @@
 from topazhold.io.http import Client, NoAnswer, NotSent
 from topazhold.settings import Operator, Settings, address
 from topazhold.wire import messages as wire
-from topazhold.wire.codec import BadMessage, json_size, read
+from topazhold.wire.codec import BadMessage, convert, json_size, read
 from topazhold.wire.messages import Breed, Call, Orders, Report
 
 log = logging.getLogger(__name__)
@@ -117,7 +117,7 @@
                 self._until_deposed,
                 self._plan_loop, self._watch_jobs, self._watch_holds, self._save_loop,
                 self._list_loop, self._rent_loop, self._release_loop, self._summary_loop,
-                self._strike_loop,
+                self._strike_loop, self._watch_relays,
             ):  # fmt: skip
                 await group.spawn(self._run_loop, loop)
         await self._close()
@@ -151,6 +151,7 @@
         live, self._harvest[records.LIVE_PREFIX] = await self._store.entries(
             records.LIVE_PREFIX, LEASES
         )
+        self._harvest[records.RELAY_PREFIX] = self._harvest[records.LIVE_PREFIX]
         clock, wall = await curio.clock(), time.time()
         jobs = [records.read_live(entry.data, entry.mark, wall, clock) for entry in live]
         for job in jobs:
@@ -233,6 +234,25 @@
 
         await self._watch(HOLD_PREFIX, apply)
 
+    async def _watch_relays(self) -> None:
+        async def apply(node: str, data: Any, mark: int) -> None:
+            if isinstance(data, dict) and data.get("crown") == self.crown:
+                await self.relayed(data.get("reports", []))
+
+        await self._watch(records.RELAY_PREFIX, apply)
+
+    async def relayed(self, reports: Any) -> None:
+        """Reports that a follower took in while this node can't be reached."""
+        now = await curio.clock()
+        for item in reports:
+            try:
+                rep = convert(item, Report)
+            except BadMessage as exc:
+                log.debug("relayed report unreadable: %s", exc)
+                continue
+            self.realm.report(rep, False, now, relayed=True)
+        await self._wake.set()
+
     async def _watch_jobs(self) -> None:
         await self._watch(records.LIVE_PREFIX, self._job_changed)
 
@@ -436,6 +456,7 @@
         """Send kills directly; the next report's answer repeats them."""
         while True:
             await curio.sleep(0.05 * self._report_s)
+            now = await curio.clock()
             for name in sorted(self.realm.strikes - self._striking):
                 self.realm.strikes.discard(name)
                 machine = self.realm.machines.get(name)
@@ -445,7 +466,7 @@
                     self.realm.strikes.add(name)
                     break
                 calls = self.realm.direct_calls(machine)
-                if calls:
+                if calls or self.realm.needs_herald(machine, now):
                     self._striking.add(name)
                     await curio.spawn(self._strike, machine, calls, daemon=True)
 
--- /dev/null
+++ b/topazhold/control/relay.py
@@ -0,0 +1,83 @@
+"""What a follower does for workers that the queen can't reach.
+
+A follower sends workers to the queen. When she is cut from them, or there is
+none just now, that would cost them their leases and so their tasks. It then
+answers with the known crown and no commands, and passes their reports on.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Any
+
+import msgspec
+
+from topazhold.core.leadership import Leadership
+from topazhold.wire.codec import json_size
+from topazhold.wire.messages import Report
+
+#: A queen that has been silent for this share of a grant's time is cut off.
+SILENT_GRANTS = 0.9
+
+
+class Shelter:
+    """Decides which workers to keep here, and collects their reports."""
+
+    def __init__(
+        self, leadership: Leadership, grant_s: float, lease_s: float, now: float
+    ) -> None:
+        self._lead = leadership
+        self._silence_s = SILENT_GRANTS * grant_s
+        self._lease_s = lease_s
+        self._since = now
+        self._heard: dict[str, float] = {}  # peers, by the time of their last ping
+        self._silent: set[str] = set()  # machines that the queen says she can't hear
+        self._sent_away: dict[str, float] = {}
+        self._kept: dict[str, Report] = {}
+
+    def heard(self, peer: str, silent: Iterable[str] | None, now: float) -> None:
+        """A peer's ping; the queen's carries the machines that she does not hear."""
+        self._heard[peer] = now
+        if silent is not None:
+            self._silent = set(silent)
+
+    def queen_cut(self, now: float) -> bool:
+        """Whether nothing has come from the queen for too long."""
+        queen = self._lead.queen
+        return queen is not None and (
+            now - self._heard.get(queen, self._since) > self._silence_s
+        )
+
+    def keeps(self, rep: Report, now: float) -> bool:
+        """Whether to answer this worker here instead of sending it to the queen."""
+        lead = self._lead
+        if lead.crown == 0 or rep.crown != lead.crown:
+            return False
+        if lead.queen is None or lead.queen == lead.node or self.queen_cut(now):
+            return True
+        if rep.box not in self._silent:
+            self._sent_away.pop(rep.box, None)
+            return False
+        # The queen lives and does not hear this worker. It is sent to her once
+        # per lease time, which it survives if the way is still closed.
+        last = self._sent_away.setdefault(rep.box, now)
+        if now - last < self._lease_s:
+            return True
+        self._sent_away[rep.box] = now
+        return False
+
+    def keep(self, rep: Report) -> None:
+        self._kept[rep.box] = rep
+
+    def take(self, limit: int) -> list[Any]:
+        """Reports to pass on, as many as fit; the others follow next time."""
+        packed: list[Any] = []
+        size = 0
+        for box in list(self._kept):
+            item = msgspec.to_builtins(self._kept[box])
+            size += json_size(item) + 1
+            if size > limit:
+                break
+            packed.append(item)
+            del self._kept[box]
+        return packed
--- a/topazhold/core/machines.py
+++ b/topazhold/core/machines.py
@@ -49,6 +49,8 @@
         self.listed_at: float | None = None  # request time of the newest list that had it
         self.unlisted = 0  # lists in a row, asked for after it fell silent, without it
         self.why = ""
+        self.reached_at = -1e9  # last report that came to this node itself
+        self.heralded_at = -1e9
         self.bell: tuple[str, int] | None = None  # an ended task kept uncleared
 
     # -- changes of state ------------------------------------------------
--- a/topazhold/core/realm.py
+++ b/topazhold/core/realm.py
@@ -49,6 +49,8 @@
 
 NO_ROOM: Room = (0.0, 0.0, 0.0)
 
+_UP = (MachineState.UNSYNCED, MachineState.READY, MachineState.DRAINING)
+
 
 class Realm:
     """All that the queen knows, and what she makes of it."""
@@ -205,7 +207,9 @@
 
     # -- reports -----------------------------------------------------------
 
-    def report(self, rep: Report, direct: bool, now: float) -> Machine | None:
+    def report(
+        self, rep: Report, direct: bool, now: float, relayed: bool = False
+    ) -> Machine | None:
         """A worker's report; None if it is stale or from a released machine.
 
         `direct` marks the answer of a direct command. It may overtake the
@@ -230,6 +234,8 @@
         machine.endpoint = rep.endpoint
         synced = rep.crown == self.crown
         machine.hear(synced, now)
+        if not direct and not relayed:
+            machine.reached_at = now
         self._notice(machine, rep.smoke_s, now)
         self._frames(machine, rep, synced, direct, now)
         if not machine.empty:
@@ -561,6 +567,36 @@
         heard = machine.heard_at if machine.heard_at is not None else machine.since
         return now - max(heard, self.since)
 
+    def unreached(self, now: float) -> list[str]:
+        """Machines whose reports have not come here for a while."""
+        limit = 2.2 * self.report_s
+        return [
+            machine.name for machine in self.machines.values()
+            if machine.state in _UP and now - max(machine.reached_at, self.since) > limit
+        ]  # fmt: skip
+
+    def cut_from_workers(self, now: float) -> bool:
+        """Whether others hear most of the workers, and this node hardly any."""
+        if now - self.since < self.lease_s:
+            return False
+        heard = reached = 0
+        for machine in self.machines.values():
+            if machine.state in _UP and self.silent_s(machine, now) < 0.5 * self.lease_s:
+                heard += 1
+                reached += now - machine.reached_at < 0.5 * self.lease_s
+        return heard >= 2 and reached < 0.3 * heard
+
+    def needs_herald(self, machine: Machine, now: float) -> bool:
+        """Whether a worker has to be told of this reign directly.
+
+        It may be with a former queen who knows of no other; once it has seen
+        the new crown, her answers are void and its reports tell her so.
+        """
+        return (
+            machine.state is MachineState.UNSYNCED
+            and now - max(machine.reached_at, self.since) > 1.5 * self.report_s
+        )
+
     def usable(self, machine: Machine, now: float) -> bool:
         """Whether new work may be planned there."""
         return (
@@ -583,6 +619,9 @@
             return
         if state is MachineState.DRAINING:
             self._drain(machine, now)
+        if self.needs_herald(machine, now) and now - machine.heralded_at > self.report_s:
+            machine.heralded_at = now
+            self.strikes.add(machine.name)
         silent = self.silent_s(machine, now)
         if silent > self.lease_s and machine.unlisted >= 2:
             self.release(machine, "silent and not listed", now)
@@ -593,9 +632,7 @@
         """Many machines of a zone silent at once: a cut, which proves nothing."""
         count = silent = 0
         for machine in self.machines.values():
-            if machine.zone == zone and machine.state in (
-                MachineState.UNSYNCED, MachineState.READY, MachineState.DRAINING,
-            ):  # fmt: skip
+            if machine.zone == zone and machine.state in _UP:
                 count += 1
                 silent += self.silent_s(machine, now) > 0.6 * self.lease_s
         return silent > 2 and silent > 0.4 * count
