Keep headroom on ordinary machines from work that can wait

Cause: arrays filled the last ordinary machines, and gangs that are to start within seconds waited for them to save and leave.

--- a/topazhold/core/realm.py
+++ b/topazhold/core/realm.py
@@ -98,6 +98,9 @@
         self._over: dict[str, None] = {}
         self._starved_since: dict[str, float] = {}
         self._claims: dict[str, tuple[float, float]] = {}
+        self.quick_lanes = {aim.lane for aim in cluster.objectives if aim.kind == "wait"}
+        self.headroom_share = operator.headroom_share
+        self._free_plain = 0.0
 
     # -- jobs --------------------------------------------------------------
 
@@ -694,6 +697,7 @@
         # Without it a team's arrays take up its limit task by task, and a gang
         # that needs more at once waits until they are all done.
         self._claims = {}
+        self._free_plain = self._plain_cards(now)
         for job in self._waiting_jobs(now):
             if len(planned) >= MOST_PLANNED:
                 break
@@ -895,6 +899,7 @@
         if spec.same_place:
             only = self._array_zone(zones, places)
         tasks = job.waiting_tasks()
+        patient = self._patient(job, now)
         placed_all = False
         for machine, count in places:
             if only is not None and machine.zone != only:
@@ -902,6 +907,8 @@
             while count > 0 and len(planned) < MOST_PLANNED:
                 if not self._may_touch(machine, touched, 1):
                     break
+                if patient and not machine.spot and self._free_plain < job.need[1]:
+                    break
                 if not self.usage.allows(job, 1, self._claimed(job)):
                     break
                 if spec.scatter and zones.get(machine.zone, 0) >= most_in_zone:
@@ -914,6 +921,8 @@
                 job.add_run(run)
                 planned.append(run)
                 touched.add(machine.name)
+                if not machine.spot:
+                    self._free_plain -= job.need[1]
                 zones[machine.zone] = zones.get(machine.zone, 0) + 1
                 count -= 1
             if placed_all:
@@ -923,6 +932,25 @@
         else:
             self._starved_since.pop(job.id, None)
 
+    def _plain_cards(self, now: float) -> float:
+        """Free cards on ordinary machines beyond the headroom kept there.
+
+        Classes that are to start within seconds can't wait for others to save
+        and leave; so work that can wait does not fill the last machines.
+        """
+        free = total = 0.0
+        for machine in self.machines.values():
+            if not machine.spot and self.usable(machine, now):
+                free += machine.free()[1]
+                total += machine.total[1]
+        return free - self.headroom_share * total
+
+    def _patient(self, job: Job, now: float) -> bool:
+        """Whether the job may wait: no quick start is aimed at, and there is slack."""
+        if job.within or not self.quick_lanes or job.spec.lane in self.quick_lanes:
+            return False
+        return now < self._due(job) - self.lease_s
+
     def _array_zone(self, zones: dict[str, int], places: list[tuple[Machine, int]]) -> str:
         """The zone that the job is in already, or the roomiest."""
         if zones:
@@ -950,7 +978,7 @@
             if count:
                 cost = machine.fetch_s(spec.comb, spec.image_gb)
                 if spec.drones and not machine.spot:
-                    cost += 2 * self.report_s
+                    cost += 4 * self.report_s
                 cost += 5 * self.report_s * len(machine.error_jobs)
                 found.append((cost, room[1], machine.name, machine, count))
         found.sort(key=lambda place: place[:3])
