--- a/tests/test_search.py
+++ b/tests/test_search.py
@@ -118,3 +118,12 @@
     again = search.unpack_offer("a", item.pack())
     assert again.pack() == item.pack()
     assert [delay for delay, _ in again.ladder((1, 1), None)] == [0.0, 2.0, 9.5]
+
+
+def test_held_group_is_judged_by_what_is_known_now() -> None:
+    """A hold on machines that free late must lose against a better group."""
+    spec = make_spec(frames=2, cards=4.0)
+    _, caches = fleet(offer("m1", "a", 80.0), offer("m2", "a", 90.0))
+    held = {"m1": 1, "m2": 1}
+    assert search.score_held(held, caches, spec, (1, 2), {}, RULES) >= 90.0
+    assert search.score_held({"m9": 2}, caches, spec, (1, 2), {}, RULES) == float("inf")
--- a/topazhold/control/booking.py
+++ b/topazhold/control/booking.py
@@ -12,7 +12,7 @@
 
 from topazhold.control.store import DECISIONS, TROUBLE, Conflict, Store
 from topazhold.core.holds import HOLD_PREFIX, Hold, HoldBook, pack_value
-from topazhold.core.search import Group, Offer, SearchRules, search, unpack_offer
+from topazhold.core.search import Group, Offer, SearchRules, score_held, search, unpack_offer
 from topazhold.settings import Operator, Settings
 from topazhold.wire import messages as wire
 from topazhold.wire.messages import JobSpec
@@ -141,9 +141,14 @@
                 continue
             margin = BETTER_REPORTS * self._report_s
             if old is not None:
-                # What is left of the old wait; a better group replaces it.
-                left = max(0.0, old.score - (wall - old.made))
-                if group.score > left - margin:
+                # Estimates are often wrong: the held group is judged by what is
+                # known now, not by what was hoped when it was booked. Else a
+                # hold on machines that free late is kept until it lapses.
+                taken = draft.taken(job, wanted.rank, lambda hold: True)
+                present = score_held(
+                    old.slots, view.caches, wanted.spec, wanted.rank, taken, self.rules
+                )
+                if group.score > present - margin:
                     continue
             self._hold(wanted, group, wall)
 
--- a/topazhold/control/node.py
+++ b/topazhold/control/node.py
@@ -474,12 +474,13 @@
             if job_id not in waiting:
                 self.booking.forget(job_id)
         for job in waiting.values():
-            alone = job.node != self.name and job.node in self.book.marks
-            since = max(job.gang_since, reign.realm.since)
-            if alone and now - since < self.operator.summary_s:
-                continue
-            if alone and not reign.realm.needs_hold(job):
-                continue
+            others = job.node != self.name and job.node in self.book.marks
+            # Its own controller searches; two at once would only replace each
+            # other's holds. The queen steps in where nothing comes of it.
+            if others and reign.realm.wanting_s(job, now) < 2 * self.operator.summary_s:
+                if job.id not in self.booking.mine:
+                    self.booking.forget(job.id)
+                    continue
             wanted[job.id] = Wanted(job.spec, rank(job), job.arrived)
             hold = self.booking.mine.get(job.id)
             if hold is not None and reign.realm.spent(job, hold):
--- a/topazhold/core/realm.py
+++ b/topazhold/core/realm.py
@@ -97,6 +97,7 @@
         self._gone: dict[str, None] = {}
         self._over: dict[str, None] = {}
         self._starved_since: dict[str, float] = {}
+        self._wanting_since: dict[str, float] = {}
         self._claims: dict[str, tuple[float, float]] = {}
         self.quick_lanes = {aim.lane for aim in cluster.objectives if aim.kind == "wait"}
         self.headroom_share = operator.headroom_share
@@ -136,6 +137,7 @@
             self.jobs.pop(job.id, None)
             self.rejected.pop(job.id, None)
             self._starved_since.pop(job.id, None)
+            self._wanting_since.pop(job.id, None)
 
     # -- machines ----------------------------------------------------------
 
@@ -605,7 +607,8 @@
         return (
             machine.state is MachineState.READY
             and machine.sick_until <= now
-            and now - (machine.heard_at or 0.0) < 2.5 * self.report_s
+            # Relayed reports don't count: a launch needs an answer of our own.
+            and now - machine.reached_at < 2.5 * self.report_s
         )
 
     def _watch(self, machine: Machine, now: float) -> None:
@@ -1043,6 +1046,13 @@
             found.append(job)
         return found
 
+    def wanting_s(self, job: Job, now: float) -> float:
+        """How long the gang has been without a hold that is in force."""
+        if not self.needs_hold(job):
+            self._wanting_since.pop(job.id, None)
+            return 0.0
+        return now - self._wanting_since.setdefault(job.id, now)
+
     def needs_hold(self, job: Job) -> bool:
         hold = self.book.of_job(job.id)
         return hold is None or self.spent(job, hold)
--- a/topazhold/core/search.py
+++ b/topazhold/core/search.py
@@ -275,6 +275,22 @@
     return swapped
 
 
+def score_held(
+    held: Mapping[str, int], caches: Mapping[str, Sequence[Offer]], spec: JobSpec, rank: Rank,
+    taken: Mapping[str, Room], rules: SearchRules,
+) -> float:  # fmt: skip
+    """What a group that is held already would score by what is known now."""
+    group: list[Slot] = []
+    for offers in caches.values():
+        for offer in offers:
+            count = held.get(offer.name, 0)
+            if count:
+                group += offer_slots(offer, spec, rank, taken.get(offer.name), count, rules)
+    if len(group) != spec.frames:
+        return math.inf
+    return score_group(group, spec, rules)
+
+
 def search(
     rng: Random, directory: Sequence[tuple[str, str]], caches: Mapping[str, Sequence[Offer]],
     spec: JobSpec, rank: Rank, taken: Mapping[str, Room], rules: SearchRules, tries: int,
