--- a/topazhold/control/booking.py
+++ b/topazhold/control/booking.py
@@ -81,6 +81,7 @@
         self.book = book
         self._rng = rng
         self._lapse_s = operator.hold_lapse_s
+        self._settle_s = operator.summary_s
         self._report_s = workers.report_s
         self._tries = len(settings.cluster.zones)
         self._limit = int(settings.cluster.state.value_kb * 1024 * 0.9)
@@ -134,6 +135,8 @@
         for wanted in order[:MOST_SEARCHED]:
             job = wanted.spec.id
             old = self.mine.get(job)
+            if old is not None and old.free_now and wall - old.made < self._settle_s:
+                continue  # about to be used
             if old is None and len(self.mine) >= MOST_HOLDS:
                 continue
             group = self._search(wanted, view, draft)
--- a/topazhold/control/node.py
+++ b/topazhold/control/node.py
@@ -44,6 +44,8 @@
 DRIFT = 0.002
 #: The catalog's prices move slowly.
 CATALOG_REPORTS = 60
+#: How often the queen tells her peers the summary, about.
+PEER_SUMMARY_S = 1.0
 #: Unheard machines named in a ping.
 MOST_SILENT = 100
 
@@ -493,7 +495,9 @@
         for job_id, wanted in list(booking.wanted.items()):
             told = waiting.get(job_id)
             if told is None:
-                if now - wanted.since > 2 * self.operator.summary_s:
+                # Started, or over; if the queen has only not heard of it yet,
+                # she will name this node as its searcher.
+                if self.view.at - wanted.since > 2 * PEER_SUMMARY_S:
                     booking.forget(job_id)
             else:
                 wanted.rank = told[1]
--- a/topazhold/core/machines.py
+++ b/topazhold/core/machines.py
@@ -51,7 +51,7 @@
         self.why = ""
         self.reached_at = -1e9  # last report that came to this node itself
         self.heralded_at = -1e9
-        self.bell: tuple[str, int] | None = None  # an ended task kept uncleared
+        self.bells: list[tuple[str, int]] = []  # ended tasks kept uncleared, to ring with
 
     # -- changes of state ------------------------------------------------
 
--- a/topazhold/core/realm.py
+++ b/topazhold/core/realm.py
@@ -37,6 +37,8 @@
 ATTEMPTS_PER_REIGN = 1 << 24
 #: Runs planned in one round.
 MOST_PLANNED = 96
+#: Ended tasks left on a worker to ring with.
+MOST_BELLS = 3
 #: Natural ends listed in an offer.
 MOST_RUNGS = 4
 #: A job that failed on so many machines is taken to be at fault itself.
@@ -474,14 +476,13 @@
         return calls
 
     def _clears(self, machine: Machine, rep: Report) -> list[Call]:
-        """Clears for ended tasks, but for one that is kept to ring with.
+        """Clears for ended tasks, but for a few that are kept to ring with.
 
         A change of a worker's tasks makes it report at once. Clearing the kept
         task directly is such a change, so a launch need not wait for the next
         regular report.
         """
         calls = []
-        machine.bell = None
         for frame in rep.frames:
             if frame.stage != wire.ENDED:
                 continue
@@ -494,23 +495,20 @@
                 ):  # fmt: skip
                     continue  # the worker's word is the only record until it is saved
             calls.append(wire.clear(frame.frame, frame.attempt))
-        if calls:
-            kept = calls.pop()
-            machine.bell = (kept.frame, kept.attempt)
-        return calls
+        machine.bells = [(call.frame, call.attempt) for call in calls[:MOST_BELLS]]
+        return calls[MOST_BELLS:]
 
     def direct_calls(self, machine: Machine) -> list[Call]:
         """What goes out directly: kills, and the ring for a waiting launch."""
         calls = self.kills(machine)
         if machine.name in self.rings:
             self.rings.discard(machine.name)
-            if machine.bell is not None:
-                calls.append(wire.clear(*machine.bell))
-                machine.bell = None
+            if machine.bells:
+                calls.append(wire.clear(*machine.bells.pop()))
         return calls
 
     def _ring(self, machine: Machine, now: float) -> None:
-        if machine.bell is not None and now - (machine.heard_at or 0.0) > 0.1 * self.report_s:
+        if machine.bells and now - (machine.heard_at or 0.0) > 0.1 * self.report_s:
             self.rings.add(machine.name)
             self.strikes.add(machine.name)
 
