--- a/tests/test_realm.py
+++ b/tests/test_realm.py
@@ -356,3 +356,13 @@
     may = preemption.may_stop
     assert may(low, urgent, bench.realm.usage)
     assert not may(urgent, low, bench.realm.usage)
+
+
+def test_unsent_launch_leaves_a_draining_machine(bench: Bench) -> None:
+    """Written for a machine that then fell sick, a task once waited for ever."""
+    job = bench.job(make_spec(shape="batch", frames=1))
+    (run,) = bench.plan()
+    bench.realm.machines[run.machine].drain("sick", bench.now)
+    bench.realm.tick(bench.now)
+    assert job.waiting_count == 1
+    assert [new.machine != run.machine for new in bench.plan()] == [True]
--- a/topazhold/control/booking.py
+++ b/topazhold/control/booking.py
@@ -83,7 +83,7 @@
         self._lapse_s = operator.hold_lapse_s
         self._settle_s = operator.summary_s
         self._report_s = workers.report_s
-        self._tries = len(settings.cluster.zones)
+        self._tries = 2 * len(settings.cluster.zones)
         self._limit = int(settings.cluster.state.value_kb * 1024 * 0.9)
         self._zones = settings.cluster.zones
         self.rules = SearchRules(
@@ -160,7 +160,7 @@
         self._serial = max(self._serial + 1, int(wall * 1000))
         self.mine[spec.id] = Hold(
             spec.id, group.slots, (spec.vcpus, spec.cards, spec.ram_gb), group.score,
-            self._serial, wall, group.room_wait <= 0.0, wanted.rank,
+            self._serial, wall, group.room_wait <= self._report_s, wanted.rank,
         )  # fmt: skip
         log.info(
             "hold %s on %s, wait %.1f s, score %.1f",
--- a/topazhold/control/node.py
+++ b/topazhold/control/node.py
@@ -33,13 +33,13 @@
 from topazhold.settings import Operator, Settings, address
 from topazhold.wire import messages as wire
 from topazhold.wire.codec import BadMessage, read
-from topazhold.wire.messages import Breed, JobSpec, Orders, Report
+from topazhold.wire.messages import Breed, Entry, JobSpec, Orders, Report
 
 log = logging.getLogger(__name__)
 
 #: A lease's time, as a share of the workers' lease, and its bounds in seconds.
-GRANT_LEASES = 0.2
-GRANT_BOUNDS = (1.5, 4.0)
+GRANT_LEASES = 0.15
+GRANT_BOUNDS = (1.5, 3.5)
 #: Steady clocks drift; a lease is taken to end this much earlier.
 DRIFT = 0.002
 #: The catalog's prices move slowly.
@@ -231,6 +231,8 @@
                     else:
                         await curio.sleep(0.05 * self.grant_s)
                     continue
+                if await self._former_self(entry):
+                    continue
                 await self._seen_queen(entry.data, entry.mark)
                 await self._follow(harvest or 0)
             except WatchLost:
@@ -239,6 +241,24 @@
                 log.debug("leadership: %s", exc)
                 await curio.sleep(0.1 * self.grant_s)
 
+    async def _former_self(self, entry: Entry) -> bool:
+        """End a reign left over from an earlier life of this node.
+
+        That process is dead and nobody commands in its name, so there is no
+        need to wait for its lease to lapse. The same goes for an election won
+        without an answer.
+        """
+        value = read_value(entry.data)
+        if value is None or value[0] != self.name or self.leadership.reigning:
+            return False
+        if entry.permit is None:
+            return False
+        log.info("ending the lease %d of an earlier life", entry.permit)
+        await self.store.end_grant(entry.permit)
+        if entry.permit == self.permit:
+            self.permit = None
+        return True
+
     async def _follow(self, harvest: int) -> None:
         """Wait until the leadership key changes."""
         while True:
@@ -259,11 +279,7 @@
             return
         queen, crown = value
         lead = self.leadership
-        if queen == self.name and not lead.reigning:
-            # Left over from an earlier life of this node, or an election won
-            # without an answer; it lapses with its lease.
-            return
-        if queen == self.name and crown == lead.crown:
+        if queen == self.name:
             return
         if lead.learn(queen, crown):
             await self._depose("another queen was elected")
--- a/topazhold/core/realm.py
+++ b/topazhold/core/realm.py
@@ -642,6 +642,14 @@
         return silent > 2 and silent > 0.4 * count
 
     def _drain(self, machine: Machine, now: float) -> None:
+        # A launch that has not left won't leave any more: a task left waiting
+        # here would wait for ever.
+        for run in list(machine.runs.values()):
+            if run.state is RunState.WRITTEN and not run.unsure:
+                if run.job.gang:
+                    self._stop_gang(run.job, 0.0, "machine is leaving", now)
+                else:
+                    self._drop(run, now)
         if machine.why == "sick":
             if machine.empty:
                 self.release(machine, "sick", now)
@@ -650,14 +658,9 @@
             return
         left = machine.gone_at - now
         for run in list(machine.runs.values()):
-            if run.stopping:
+            if run.stopping or run.state is RunState.INTENDED:
                 continue
-            if run.state in UNSENT and not run.unsure:
-                if run.job.gang:
-                    self._stop_gang(run.job, 0.0, "machine will be taken", now)
-                else:
-                    self._drop(run, now)
-            elif run.state is not RunState.RUNNING or self._would_lose(run, left, now):
+            if run.state is not RunState.RUNNING or self._would_lose(run, left, now):
                 self.stop_for_room(run, "machine will be taken", now)
         if machine.empty and left < 0:
             self.release(machine, "taken", now)
@@ -1079,7 +1082,9 @@
             rungs.append((max(wait, 2 * self.report_s), machine.total))
         elif self.usable(machine, now):
             room = machine.free()
-            rungs.append((0.0, room))
+            # A worker that can be rung takes a launch at once, others at their
+            # next report.
+            rungs.append((0.0 if machine.bells else 0.5 * self.report_s, room))
             ends = []
             for run in machine.runs.values():
                 if run.present:
