--- /dev/null
+++ b/tests/test_http.py
@@ -0,0 +1,155 @@
+"""The HTTP server, its clients and the peer links, on loopback sockets."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import cbor2
+import curio
+import pytest
+from curio import socket
+
+from topazhold.io import links
+from topazhold.io.http import Answer, Client, NoAnswer, NotSent, Request, Server
+from topazhold.io.rate import Bucket
+
+
+async def echo(request: Request) -> Answer:
+    if request.path == "/fail":
+        raise RuntimeError("on purpose")
+    if request.path == "/busy":
+        return Answer(503, retry_after=2.4)
+    if request.path == "/slow":
+        await curio.sleep(30)
+    body = cbor2.loads(request.body) if request.body else None
+    return Answer(200, {"path": request.path, "query": request.query, "body": body})
+
+
+def serve(main: Callable[[tuple[str, int]], Awaitable[Any]], most: int = 8) -> Any:
+    async def run() -> Any:
+        probe = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        probe.bind(("127.0.0.1", 0))
+        address = probe.getsockname()
+        await probe.close()
+        server = await curio.spawn(Server(echo, most, 5.0).run, address, daemon=True)
+        await curio.sleep(0.05)
+        try:
+            return await curio.timeout_after(10, main, address)
+        finally:
+            await server.cancel()
+
+    return curio.run(run)
+
+
+async def raw(address: tuple[str, int], data: bytes) -> bytes:
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    await sock.connect(address)
+    await sock.sendall(data)
+    answer = b""
+    while True:
+        try:
+            part = await curio.ignore_after(0.3, sock.recv, 65536)
+        except ConnectionError:
+            break
+        if not part:
+            break
+        answer += part
+    await sock.close()
+    return answer
+
+
+def test_requests_share_a_connection() -> None:
+    async def main(address: tuple[str, int]) -> None:
+        client = Client(address)
+        for number in range(3):
+            status, body = await client.ask("POST", "/a?b=c", {"n": number}, 2.0)
+            assert status == 200
+            assert cbor2.loads(body) == {"path": "/a", "query": "b=c", "body": {"n": number}}
+        status, _ = await client.ask("GET", "/fail", None, 2.0)
+        assert status == 500
+        await client.close()
+
+    serve(main)
+
+
+def test_broken_http_gets_400_and_the_server_lives() -> None:
+    async def main(address: tuple[str, int]) -> None:
+        assert b" 400 " in await raw(address, b"nonsense\r\n\r\n")
+        assert b" 4" in (await raw(address, b"GET / HTTP/1.1\r\n" + b"x: y\r\n" * 9000))[:20]
+        huge = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 70000\r\n\r\n" + b"x" * 70000
+        assert b" 413 " in await raw(address, huge)
+        answer = await raw(address, b"GET /busy HTTP/1.1\r\nHost: x\r\n\r\n")
+        assert b" 503 " in answer and b"retry-after: 2" in answer.lower()
+        status, _ = await Client(address).ask("GET", "/", None, 2.0)
+        assert status == 200
+
+    serve(main)
+
+
+def test_no_answer_and_not_sent_are_told_apart() -> None:
+    async def main(address: tuple[str, int]) -> None:
+        with pytest.raises(NoAnswer):
+            await Client(address).ask("GET", "/slow", None, 0.2)
+        with pytest.raises(NotSent):
+            await Client(("127.0.0.1", 1)).ask("GET", "/", None, 0.5)
+
+    serve(main)
+
+
+def test_connections_are_bounded() -> None:
+    async def main(address: tuple[str, int]) -> None:
+        held = []
+        for _ in range(4):
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            await sock.connect(address)
+            held.append(sock)
+        await curio.sleep(0.1)
+        assert await raw(address, b"GET / HTTP/1.1\r\nHost: x\r\n\r\n") == b""
+        for sock in held:
+            await sock.close()
+        await curio.sleep(0.1)
+        assert b" 200 " in await raw(address, b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+
+    serve(main, most=4)
+
+
+def test_links_carry_tagged_tuples_and_drop_anything_else() -> None:
+    async def run() -> None:
+        probe = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        probe.bind(("127.0.0.1", 0))
+        address = probe.getsockname()
+        await probe.close()
+        heard: list[tuple[Any, ...]] = []
+
+        async def receive(message: tuple[Any, ...]) -> None:
+            if message[0] == "bad":
+                raise ValueError("on purpose")
+            heard.append(message)
+
+        listener = await curio.spawn(links.Listener(receive, 5.0).run, address, daemon=True)
+        link = links.Link(address, 0.2)
+        runner = await curio.spawn(link.run, daemon=True)
+        await curio.sleep(0.1)
+        await link.send(("bad",))
+        await link.send(("ping", "hive-0", 7))
+        await raw(address, b"\x00\x00\x00\x01\xff")
+        await raw(address, b"\xff\xff\xff\xff")
+        await link.send(("ping", "hive-0", 8))
+        await curio.sleep(0.2)
+        assert heard == [("ping", "hive-0", 7), ("ping", "hive-0", 8)]
+        await runner.cancel()
+        await listener.cancel()
+
+    curio.run(run)
+
+
+def test_bucket_keeps_the_reserve_for_higher_ranks() -> None:
+    """Under overload reports and decisions go first, submissions last."""
+    bucket = Bucket(10.0)
+    users = sum(bucket.take(0.0, 1, reserve=0.3) for _ in range(20))
+    decisions = sum(bucket.take(0.0, 1, reserve=0.1) for _ in range(20))
+    leases = sum(bucket.take(0.0, 1) for _ in range(20))
+    assert (users, decisions, leases) == (7, 2, 1)
+    assert bucket.wait_s(0.0, 1, 0.3) == pytest.approx(0.4)
+    assert bucket.take(0.41, 1, 0.3)
--- /dev/null
+++ b/tests/test_users.py
@@ -0,0 +1,165 @@
+"""The users' interface against the real control code and the stand-in store."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import curio
+import msgspec
+import pytest
+
+from tests.conftest import make_spec
+from tests.standins import VirtualTime, run_virtual, start_node
+from tests.world import NAMES, World
+from topazhold.io.http import Request
+from topazhold.wire.codec import pack
+
+Scene = Callable[[World, Any], Awaitable[None]]
+
+
+def scene(monkeypatch: pytest.MonkeyPatch, act: Scene, settle_s: float = 2.0) -> World:
+    """One controller, a store and a cloud; `act` gets the world and the node."""
+    worlds: list[World] = []
+
+    async def main(clock: VirtualTime) -> None:
+        world = World(clock, 1)
+        worlds.append(world)
+        await start_node(world, NAMES[0])
+        await curio.sleep(settle_s)
+        await act(world, world.nodes[NAMES[0]])
+
+    run_virtual(main, monkeypatch)
+    return worlds[0]
+
+
+async def submit(node: Any, **changes: Any) -> Any:
+    body = msgspec.to_builtins(make_spec())
+    body.update(changes)
+    return await node.handle(Request("POST", "/api/jobs", pack(body)))
+
+
+async def ask(node: Any, method: str, path: str, body: bytes = b"") -> Any:
+    return await node.handle(Request(method, path, body))
+
+
+def test_statuses(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def act(world: World, node: Any) -> None:
+        assert (await submit(node)).status == 201
+        again = await submit(node)
+        assert again.status == 200 and again.body["stage"] == "pending"
+        assert (await submit(node, id="wk-2", crew="green")).status == 422
+        assert (await submit(node, id="wk-3", vcpus=17.0)).status == 422
+        assert (await submit(node, id="wk-4", breeds=["b9"])).status == 422
+        assert (await submit(node, id="wk-5", frames=11)).status == 422
+        assert (await submit(node, id="wk-6", frames=0)).status == 400
+        assert (await ask(node, "POST", "/api/jobs", b"\xff\x00nonsense")).status == 400
+        assert (await ask(node, "POST", "/api/jobs", pack([1, 2]))).status == 400
+        for path in ("/api/jobs/wk-9", "/api/jobs/none", "/api/jobs/wk-1/x", "/nothing"):
+            assert (await ask(node, "GET", path)).status == 404
+        assert (await ask(node, "POST", "/api/jobs/wk-9/cancel")).status == 404
+        assert (await ask(node, "DELETE", "/api/jobs/wk-9")).status == 405
+        assert (await ask(node, "GET", "/api/jobs")).status == 405
+        assert (await ask(node, "GET", "/v1/report")).status == 405
+        assert (await ask(node, "POST", "/v1/report", b"?")).status == 400
+        assert (await ask(node, "GET", "/healthz")).status == 200
+
+    scene(monkeypatch, act)
+
+
+def test_a_repeat_is_known_whatever_its_body_would_get(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def act(world: World, node: Any) -> None:
+        assert (await submit(node)).status == 201
+        for changes in ({"crew": "green"}, {"frames": 0}, {"vcpus": 99.0}, {"shape": None}):
+            assert (await submit(node, **changes)).status == 200
+        answer = await ask(node, "POST", "/api/jobs/wk-000001/cancel")
+        assert (answer.status, answer.body["stage"]) == (200, "aborted")
+        assert (await submit(node)).body["stage"] == "aborted"
+        assert (await submit(node, crew="green")).body["stage"] == "aborted"
+        node.users._final.clear()
+        assert (await ask(node, "GET", "/api/jobs/wk-000001")).body["stage"] == "aborted"
+
+    scene(monkeypatch, act)
+
+
+def test_types_not_known_yet(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def act(world: World, node: Any) -> None:
+        answer = await submit(node)
+        assert answer.status == 503 and answer.retry_after >= 1.0
+        assert (await submit(node, frames=0)).status == 400
+
+    async def main(clock: VirtualTime) -> None:
+        world = World(clock, 1)
+        world.cloud.down = True
+        await start_node(world, NAMES[0])
+        await curio.sleep(2.0)
+        await act(world, world.nodes[NAMES[0]])
+
+    run_virtual(main, monkeypatch)
+
+
+def test_outage_is_answered_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """What can't be taken is refused at once, with a time to come back."""
+
+    async def act(world: World, node: Any) -> None:
+        assert (await submit(node)).status == 201
+        world.state.set_down(True)
+        await curio.sleep(1.0)
+        before = world.clock.now
+        answer = await submit(node, id="wk-7")
+        assert answer.status == 503 and answer.retry_after is not None
+        assert (await ask(node, "GET", "/api/jobs/wk-000001")).status == 503
+        assert world.clock.now - before < 0.5
+        world.state.set_down(False)
+        await curio.sleep(1.0)
+        assert (await submit(node, id="wk-7")).status == 201
+
+    scene(monkeypatch, act)
+
+
+def test_overload_refuses_submissions_first(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Reports are answered and decisions made while submissions are turned away."""
+    statuses: list[int] = []
+
+    async def act(world: World, node: Any) -> None:
+        async def one(number: int) -> None:
+            answer = await submit(node, id=f"wk-{number}", frames=1)
+            statuses.append(answer.status)
+            if answer.status != 201:
+                assert answer.status == 503 and answer.retry_after >= 1.0
+
+        users = [await curio.spawn(one, number, daemon=True) for number in range(100, 600)]
+        report = {
+            "box": "host-1", "endpoint": "host-1:9", "breed": "b1", "apiary": "a",
+            "drones": False, "flight": 1, "tally": 1, "crown": node.leadership.crown,
+            "frames": [],
+        }  # fmt: skip
+        before = world.clock.now
+        answer = await ask(node, "POST", "/v1/report", pack(report))
+        assert answer.status == 200 and world.clock.now - before < 0.5
+        for user in users:
+            await user.join()
+        assert node.users._busy == 0
+
+    scene(monkeypatch, act)
+    assert statuses.count(503) > 300 and 10 < statuses.count(201) < 200
+
+
+def test_largest_job_fits(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def act(world: World, node: Any) -> None:
+        answer = await submit(node, shape="batch", frames=100_000, cards=0.5, vcpus=1.0)
+        assert answer.status == 201
+        await curio.sleep(3.0)
+        job = node.reign.realm.jobs["wk-000001"]
+        for index in range(0, 100_000, 3):
+            job.mark_done(index)
+        for _ in range(6):
+            await node.reign._save(job, world.clock.now)
+        assert not job.unsaved
+        await node.reign._load_parts(job)
+        fresh = type(job)(job.spec, 0.0, 0.0, "")
+        fresh.load_part(0, world.state.data["live/wk-000001"][0]["done"])
+        await node.reign._load_parts(fresh)
+        assert fresh.done == job.done
+
+    scene(monkeypatch, act)
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,102 @@
+"""Decoding of whatever comes in."""
+
+from __future__ import annotations
+
+import math
+from typing import Any
+
+import cbor2
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tests.conftest import make_spec
+from topazhold.core import records
+from topazhold.core.jobs import Job
+from topazhold.wire import messages as wire
+from topazhold.wire.codec import BadMessage, pack, read, unpack
+from topazhold.wire.messages import JobSpec, Report
+
+
+def fields(**changes: Any) -> dict[str, Any]:
+    base = msgspec.to_builtins(make_spec())
+    base.update(changes)
+    return base
+
+
+def test_null_may_be_missing_and_unknown_is_ignored() -> None:
+    body = fields(breeds=None, apiary=None, colour="red")
+    spec = read(cbor2.dumps(body), JobSpec)
+    assert spec.breeds is None and spec.bloom_s is None and spec.fault() is None
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"frames": 0}, {"frames": 100_001}, {"frames": 1.5}, {"frames": True}, {"frames": "2"},
+        {"vcpus": -1.0}, {"cards": math.nan}, {"ram_gb": math.inf}, {"forage_s": None},
+        {"id": "wk-"}, {"id": "job-1"}, {"id": "wk-1/2"}, {"id": 7}, {"shape": "daemon"},
+        {"urgency": "low"}, {"breeds": "b1"}, {"breeds": [1]}, {"same_place": 1},
+        {"crew": ""}, {"lane": "x" * 201}, {"cap_s": -0.1}, {"bloom_s": -1}, {"image_gb": "1"},
+    ],
+    ids=str,
+)  # fmt: skip
+def test_bad_fields_are_refused(change: dict[str, Any]) -> None:
+    try:
+        spec = read(cbor2.dumps(fields(**change)), JobSpec)
+    except BadMessage:
+        return
+    assert spec.fault() is not None
+
+
+@pytest.mark.parametrize("name", ["id", "lane", "frames", "vcpus", "drones", "seal_s"])
+def test_missing_fields_are_refused(name: str) -> None:
+    body = fields()
+    del body[name]
+    with pytest.raises(BadMessage):
+        read(cbor2.dumps(body), JobSpec)
+
+
+@given(st.binary(max_size=60))
+@settings(max_examples=200, deadline=None, derandomize=True)
+def test_any_bytes_are_refused_or_read(body: bytes) -> None:
+    try:
+        read(body, Report)
+    except BadMessage:
+        pass
+
+
+@given(st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=5),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=5), inner),
+    max_leaves=8,
+))  # fmt: skip
+@settings(max_examples=100, deadline=None, derandomize=True)
+def test_any_value_is_refused_or_a_job(value: Any) -> None:
+    with pytest.raises(BadMessage):
+        read(cbor2.dumps(value), JobSpec)
+
+
+def test_calls_have_the_protocols_names() -> None:
+    call = unpack(pack(wire.kill("wk-1/0", 3, 2.5)))
+    assert call == {"call": "kill", "frame": "wk-1/0", "try": 3, "settle_s": 2.5}
+    assert "settle_s" not in unpack(pack(wire.launch("wk-1/0", 3)))
+
+
+def test_frame_names() -> None:
+    assert wire.split_frame("wk-000412/3") == ("wk-000412", 3)
+    for bad in ("wk-000412", "wk-x/3", "wk-1/x", "wk-1/-1", "/3", "wk-1/" + "9" * 30):
+        assert wire.split_frame(bad) is None
+
+
+def test_live_record_round_trip() -> None:
+    job = Job(make_spec(shape="batch", frames=9000), 50.0, 1000.0, "hive-1")
+    for index in (0, 7, 4095, 4096, 8999):
+        job.mark_done(index)
+    again = records.read_live(records.live_value(job, "t"), 3, 1010.0, 60.0)
+    assert again.spec == job.spec and again.mark == 3 and again.arrived == 50.0
+    assert [i for i in range(9000) if again.done[i]] == [0, 7, 4095]
+    for part in (1, 2):
+        again.load_part(part, job.part_text(part))
+    assert again.done == job.done
