--- a/tests/test_realm.py
+++ b/tests/test_realm.py
@@ -366,3 +366,17 @@
     bench.realm.tick(bench.now)
     assert job.waiting_count == 1
     assert [new.machine != run.machine for new in bench.plan()] == [True]
+
+
+def test_new_queen_hears_the_workers_before_she_releases_for_a_cancelled_job() -> None:
+    """A stale intent of a job long gone once cost four machines at a takeover."""
+    bench = Bench(machines=0, crown=8)
+    job = Job(make_spec(shape="batch", frames=1), bench.now, 1e9, "hive-0")
+    job.abort(bench.now - 0.7 * bench.realm.cancel_s)
+    intents = [("host-0", 1, 7, [("wk-000001", 0, 77)], ("a", False, "b1"))]
+    recovery.take_over(bench.realm, [job], intents, bench.now)
+    bench.realm.tick(bench.now)
+    assert bench.realm.releases == {}
+    bench.now += 0.11 * bench.realm.cancel_s
+    bench.realm.tick(bench.now)
+    assert "host-0" in bench.realm.releases and bench.realm.must_go("host-0")
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -19,13 +19,13 @@
 
 def test_sends_workers_to_a_queen_that_lives() -> None:
     shelter, _ = follower()
-    shelter.heard("hive-1", [], 5.0)
+    shelter.heard("hive-1", True, [], 5.0)
     assert not shelter.keeps(report(), 5.5)
 
 
 def test_keeps_workers_of_a_silent_queen_and_of_none() -> None:
     shelter, lead = follower()
-    shelter.heard("hive-1", [], 5.0)
+    shelter.heard("hive-1", True, [], 5.0)
     assert shelter.keeps(report(), 9.0)
     lead.queen = None
     assert shelter.keeps(report(), 9.0)
@@ -44,10 +44,10 @@
     shelter, _ = follower()
     answers = []
     for second in range(30):
-        shelter.heard("hive-1", ["host-1"], float(second))
+        shelter.heard("hive-1", True, ["host-1"], float(second))
         answers.append(shelter.keeps(report(), float(second)))
     assert answers[0] and answers.count(False) == 2
-    shelter.heard("hive-1", [], 30.0)
+    shelter.heard("hive-1", True, [], 30.0)
     assert not shelter.keeps(report(), 30.0)
 
 
@@ -68,3 +68,14 @@
     assert not lead.learn("hive-1", 3) and lead.reigning
     assert lead.learn("hive-1", 5) and lead.role is Role.FOLLOWER
     assert not lead.learn("hive-2", 4) and lead.queen == "hive-1"
+
+
+def test_only_a_node_that_alone_is_not_served_goes_unhealthy() -> None:
+    """In an outage for all, unhealthy nodes would only lengthen it."""
+    shelter, _ = follower()
+    assert not shelter.alone(1.0)
+    shelter.heard("hive-1", False, None, 1.0)
+    assert not shelter.alone(1.5)
+    shelter.heard("hive-2", True, None, 2.0)
+    assert shelter.alone(2.5)
+    assert shelter.alone(60.0)
--- a/topazhold/control/node.py
+++ b/topazhold/control/node.py
@@ -141,13 +141,23 @@
         if request.path == wire.HEALTH_PATH:
             if request.method != "GET":
                 return Answer(405)
-            return Answer(200 if self._healthy() else 503)
+            return Answer(200 if self._healthy(await curio.clock()) else 503)
         answer = await self.users.handle(request)
         return answer if answer is not None else Answer(404)
 
-    def _healthy(self) -> bool:
-        """Whether requests can be taken here."""
-        return bool(self.breeds) and self.permit is not None
+    def _healthy(self, now: float) -> bool:
+        """Whether requests can be taken here.
+
+        In an outage of the state service for all, going unhealthy would only
+        add the load balancer's pauses to it. A node that alone can't reach it
+        sends users elsewhere.
+        """
+        if not self.breeds:
+            return False
+        failing = self.store.failing_since
+        if failing is None or now - failing < 0.3 * self.grant_s:
+            return True
+        return not self.shelter.alone(now)
 
     async def _report(self, body: bytes) -> Answer:
         try:
@@ -314,6 +324,7 @@
         self.reign = Reign(
             self.settings, self.operator, self.store, self.cloud, self.book, self.breeds,
             crown, mark, self.rng, await curio.clock(), self._tell, self._dial,
+            lambda now: now < self.valid_until,
         )  # fmt: skip
         await self._election.set()
         await self._ping()
@@ -365,7 +376,8 @@
         silent: list[str] | None = None
         if self.reign is not None and self.reign.loaded:
             silent = self.reign.realm.unreached(await curio.clock())[:MOST_SILENT]
-        await self._tell(("ping", self.name, lead.crown, lead.queen or "", silent))
+        served = self.store.failing_since is None
+        await self._tell(("ping", self.name, lead.crown, lead.queen or "", silent, served))
 
     async def _ping_loop(self) -> None:
         while True:
@@ -376,10 +388,10 @@
         """A message of another controller: hints only."""
         tag = message[0]
         if tag == "ping":
-            _, peer, crown, queen, silent = message
+            _, peer, crown, queen, silent, served = message
             from_queen = silent is not None and peer == queen
             self.shelter.heard(
-                str(peer), [str(name) for name in silent] if from_queen else None,
+                str(peer), bool(served), [str(name) for name in silent] if from_queen else None,
                 await curio.clock(),
             )
             if queen and int(crown) >= self.leadership.crown:
--- a/topazhold/control/reign.py
+++ b/topazhold/control/reign.py
@@ -59,6 +59,7 @@
         book: HoldBook, breeds: dict[str, Breed], crown: int, mark: int, rng: Random,
         now: float, tell: Callable[[tuple[Any, ...]], Awaitable[None]],
         dial: Callable[[tuple[str, int], int], Client],
+        assured: Callable[[float], bool],
     ) -> None:  # fmt: skip
         self.node = settings.node_name
         self.crown = crown
@@ -68,6 +69,7 @@
         self._breeds = breeds
         self._tell = tell
         self._dial = dial
+        self._assured = assured
         self._zones = settings.cluster.zones
         self._settings = settings
         self._operator = operator
@@ -514,8 +516,10 @@
     async def _rent_loop(self) -> None:
         await curio.sleep(self._report_s)
         while True:
-            for ask in self.realm.rent(await curio.clock()):
-                await self._rent(ask)
+            now = await curio.clock()
+            if self._assured(now):
+                for ask in self.realm.rent(now):
+                    await self._rent(ask)
             await curio.sleep(self._report_s)
 
     async def _rent(self, ask: Ask) -> None:
@@ -550,7 +554,7 @@
     async def _release_loop(self) -> None:
         while True:
             await curio.sleep(self._retry_s)
-            names = sorted(self.realm.releases)[:MOST_RELEASED]
+            names = self._to_release(await curio.clock())
             if not names:
                 continue
             try:
@@ -567,6 +571,17 @@
                     await self._drop_intents(name, mark)
             await self._wake.set()
 
+    def _to_release(self, now: float) -> list[str]:
+        """Names to release now.
+
+        A queen who can't be sure to be queen must not take machines away that
+        another may be using. Only a cancelled task has to go at any price.
+        """
+        names = sorted(self.realm.releases)
+        if not self._assured(now):
+            names = [name for name in names if self.realm.must_go(name)]
+        return names[:MOST_RELEASED]
+
     async def _drop_intents(self, name: str, mark: int) -> None:
         """Tidy up; a new queen would find the machine gone by herself."""
         key = records.on_key(name)
--- a/topazhold/control/relay.py
+++ b/topazhold/control/relay.py
@@ -31,16 +31,25 @@
         self._lease_s = lease_s
         self._since = now
         self._heard: dict[str, float] = {}  # peers, by the time of their last ping
+        self._served: dict[str, bool] = {}  # whether the state service serves them
         self._silent: set[str] = set()  # machines that the queen says she can't hear
         self._sent_away: dict[str, float] = {}
         self._kept: dict[str, Report] = {}
 
-    def heard(self, peer: str, silent: Iterable[str] | None, now: float) -> None:
+    def heard(
+        self, peer: str, served: bool, silent: Iterable[str] | None, now: float
+    ) -> None:
         """A peer's ping; the queen's carries the machines that she does not hear."""
         self._heard[peer] = now
+        self._served[peer] = served
         if silent is not None:
             self._silent = set(silent)
 
+    def alone(self, now: float) -> bool:
+        """Whether peers are served while this node is not, or none can be heard."""
+        fresh = [peer for peer, at in self._heard.items() if now - at < 2 * self._silence_s]
+        return any(self._served[peer] for peer in fresh) or (bool(self._heard) and not fresh)
+
     def queen_cut(self, now: float) -> bool:
         """Whether nothing has come from the queen for too long."""
         queen = self._lead.queen
--- a/topazhold/core/realm.py
+++ b/topazhold/core/realm.py
@@ -186,6 +186,13 @@
                 if run.state in UNSENT and not run.unsure:
                     self._drop(run, now)
 
+    def must_go(self, name: str) -> bool:
+        """Whether a machine is released for a cancelled job's task."""
+        machine = self.machines.get(name)
+        return machine is not None and any(
+            run.job.state is JobState.ABORTED for run in machine.runs.values()
+        )
+
     def listed(self, boxes: Iterable[ListedBox], asked_at: float, now: float) -> None:
         """A whole machine list, asked for at `asked_at`."""
         names = set()
@@ -557,9 +564,11 @@
                     self._stop_run(run, 0.0, "job done", now)
             elif job.cancelled_at is not None:
                 self._stop_run(run, 0.0, "job aborted", now)
-                late = now - job.cancelled_at > 0.6 * self.cancel_s
+                age = now - job.cancelled_at
+                # A new queen first hears the workers, unless there is no time.
+                heard_out = now - self.since > 2.5 * self.report_s or age > 0.8 * self.cancel_s
                 machine = self.machines.get(run.machine)
-                if late and machine is not None:
+                if age > 0.6 * self.cancel_s and heard_out and machine is not None:
                     # A task that nobody can be shown to have stopped takes its
                     # machine with it: after cancel_s it must not be anywhere.
                     self.release(machine, f"can't stop {run.frame}", now)
