--- a/topazhold/control/booking.py
+++ b/topazhold/control/booking.py
@@ -88,7 +88,7 @@
         self._zones = settings.cluster.zones
         self.rules = SearchRules(
             operator.alpha, operator.search_groups, operator.search_rounds,
-            distance_s=workers.report_s, preference_s=0.5 * workers.report_s,
+            distance_s=workers.report_s, preference_s=1.0 * workers.report_s,
         )  # fmt: skip
         self.wanted: dict[str, Wanted] = {}
         self.mine: dict[str, Hold] = {}
--- a/topazhold/core/realm.py
+++ b/topazhold/core/realm.py
@@ -102,7 +102,7 @@
         self._wanting_since: dict[str, float] = {}
         self._claims: dict[str, tuple[float, float]] = {}
         self.quick_lanes = {aim.lane for aim in cluster.objectives if aim.kind == "wait"}
-        self.headroom_share = operator.headroom_share
+        self.reserve_share = operator.reserve_share
         self._free_plain = 0.0
 
     # -- jobs --------------------------------------------------------------
@@ -956,7 +956,7 @@
             if not machine.spot and self.usable(machine, now):
                 free += machine.free()[1]
                 total += machine.total[1]
-        return free - self.headroom_share * total
+        return free - self.reserve_share * total
 
     def _patient(self, job: Job, now: float) -> bool:
         """Whether the job may wait: no quick start is aimed at, and there is slack."""
@@ -992,6 +992,8 @@
                 cost = machine.fetch_s(spec.comb, spec.image_gb)
                 if spec.drones and not machine.spot:
                     cost += 4 * self.report_s
+                if machine.empty:
+                    cost += 2 * self.report_s  # an empty machine can be returned
                 cost += 5 * self.report_s * len(machine.error_jobs)
                 found.append((cost, room[1], machine.name, machine, count))
         found.sort(key=lambda place: place[:3])
--- a/topazhold/settings.py
+++ b/topazhold/settings.py
@@ -99,6 +99,7 @@
     summary_s: float = 5.0
     hold_lapse_s: float = 60.0
     headroom_share: float = 0.15
+    reserve_share: float = 0.35
     idle_boots: float = 1.0
     use_spot: bool = True
     user_socket_share: float = 0.6
@@ -188,6 +189,7 @@
         ("summary_s", 0.5, 600.0),
         ("hold_lapse_s", 1.0, 3600.0),
         ("headroom_share", 0.0, 4.0),
+        ("reserve_share", 0.0, 0.9),
         ("idle_boots", 0.0, 100.0),
         ("user_socket_share", 0.05, 0.9),
     ):
