--- a/tests/standins.py
+++ b/tests/standins.py
@@ -675,7 +675,7 @@
     world.running[name] = (task, alive)
     world.net.hosts[host] = handle
     world.net.hosts[name] = handle
-    world.net.places[name] = settings.domain
+    world.net.places[name] = world.zones[name]
 
 
 async def stop_node(world: Any, name: str) -> None:
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -15,6 +15,10 @@
 from topazhold.io.rate import Bucket
 
 
+def is_guest(request: Request) -> bool:
+    return request.path.startswith("/guest")
+
+
 async def echo(request: Request) -> Answer:
     if request.path == "/fail":
         raise RuntimeError("on purpose")
@@ -26,13 +30,16 @@
     return Answer(200, {"path": request.path, "query": request.query, "body": body})
 
 
-def serve(main: Callable[[tuple[str, int]], Awaitable[Any]], most: int = 8) -> Any:
+def serve(
+    main: Callable[[tuple[str, int]], Awaitable[Any]], most: int = 8, most_guests: int = 8
+) -> Any:
     async def run() -> Any:
         probe = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         probe.bind(("127.0.0.1", 0))
         address = probe.getsockname()
         await probe.close()
-        server = await curio.spawn(Server(echo, most, 5.0).run, address, daemon=True)
+        serving = Server(echo, most, 5.0, is_guest, most_guests)
+        server = await curio.spawn(serving.run, address, daemon=True)
         await curio.sleep(0.05)
         try:
             return await curio.timeout_after(10, main, address)
@@ -114,6 +121,21 @@
     serve(main, most=4)
 
 
+def test_guests_leave_room_for_others() -> None:
+    """Users' connections must not keep workers out."""
+
+    async def main(address: tuple[str, int]) -> None:
+        clients = [Client(address) for _ in range(4)]
+        statuses = [(await client.ask("GET", "/guest", None, 2.0))[0] for client in clients]
+        assert statuses == [200, 200, 503, 503]
+        assert (await Client(address).ask("GET", "/report", None, 2.0))[0] == 200
+        await clients[0].close()
+        await curio.sleep(0.1)
+        assert (await clients[2].ask("GET", "/guest", None, 2.0))[0] == 200
+
+    serve(main, most_guests=2)
+
+
 def test_links_carry_tagged_tuples_and_drop_anything_else() -> None:
     async def run() -> None:
         probe = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -64,7 +64,7 @@
 def test_leadership_never_goes_back() -> None:
     lead = Leadership("hive-0")
     lead.stand()
-    lead.win(4, 100)
+    lead.win(4)
     assert not lead.learn("hive-1", 3) and lead.reigning
     assert lead.learn("hive-1", 5) and lead.role is Role.FOLLOWER
     assert not lead.learn("hive-2", 4) and lead.queen == "hive-1"
--- a/tests/world.py
+++ b/tests/world.py
@@ -34,6 +34,7 @@
         self.rng = Random(seed)
         self.net = Net(self.rng)
         self.names = list(NAMES)
+        self.zones = ZONES
         self.node_settings = {
             name: settings_for(name, ZONES[name], [(o, ZONES[o]) for o in NAMES if o != name])
             for name in NAMES
--- a/topazhold/control/booking.py
+++ b/topazhold/control/booking.py
@@ -15,6 +15,7 @@
 from topazhold.core.search import Group, Offer, SearchRules, score_held, search, unpack_offer
 from topazhold.settings import Operator, Settings
 from topazhold.wire import messages as wire
+from topazhold.wire.codec import json_size
 from topazhold.wire.messages import JobSpec
 
 log = logging.getLogger(__name__)
@@ -169,6 +170,7 @@
 
     async def write(self, permit: int, now: float) -> bool:
         """Write the holds if they changed; False if another's booking came between."""
+        self._cut_to_size()
         packed = [hold.pack() for hold in self.mine.values()]
         if packed == self._written:
             return True
@@ -194,6 +196,15 @@
         self.book.read(self.node, value, mark)
         return True
 
+    def _cut_to_size(self) -> None:
+        """The value has a limit: holds of the last ranks give way."""
+        order = sorted(self.mine.values(), key=lambda hold: (hold.rank, hold.made))
+        size = 200
+        for hold in order:
+            size += json_size(hold.pack()) + 1
+            if size > self._limit:
+                del self.mine[hold.job]
+
     async def read_book(self) -> None:
         """All controllers' holds, as the state service has them."""
         entries, _ = await self._store.entries(HOLD_PREFIX)
--- a/topazhold/control/node.py
+++ b/topazhold/control/node.py
@@ -22,7 +22,7 @@
     Store,
     WatchLost,
 )
-from topazhold.control.users import Users
+from topazhold.control.users import Users, users_request
 from topazhold.core import records
 from topazhold.core.holds import HoldBook
 from topazhold.core.jobs import Job
@@ -46,6 +46,8 @@
 CATALOG_REPORTS = 60
 #: How often the queen tells her peers the summary, about.
 PEER_SUMMARY_S = 1.0
+#: Share of the sockets for those who connect to this node.
+SERVED_SHARE = 0.8
 #: Unheard machines named in a ping.
 MOST_SILENT = 100
 
@@ -108,7 +110,10 @@
     async def run(self) -> None:
         """Serve until killed."""
         sockets = self.settings.cluster.limits.sockets
-        public = Server(self.handle, int(sockets * 0.8), idle_s=120.0)
+        public = Server(
+            self.handle, int(sockets * SERVED_SHARE), idle_s=120.0, is_guest=users_request,
+            most_guests=int(sockets * self.operator.user_socket_share),
+        )  # fmt: skip
         peers = Listener(self.peer_message, idle_s=60.0)
         async with curio.TaskGroup(wait=any) as group:
             await group.spawn(public.run, address(self.settings.bind))
@@ -318,7 +323,7 @@
         if self.permit != permit:
             lead.step_down()
             return
-        lead.win(crown, mark)
+        lead.win(crown)
         log.info("node %s elected queen, crown %d", self.name, crown)
         self._share(True)
         self.reign = Reign(
--- a/topazhold/control/reign.py
+++ b/topazhold/control/reign.py
@@ -71,7 +71,6 @@
         self._dial = dial
         self._assured = assured
         self._zones = settings.cluster.zones
-        self._settings = settings
         self._operator = operator
         self.realm = Realm(settings, operator, crown, book, rng, now)
         self.realm.breeds = breeds
@@ -88,7 +87,6 @@
         self._striking: set[str] = set()
         self._directs: dict[str, Client] = {}
         self._harvest: dict[str, int] = {}
-        self._releasing: set[str] = set()
         self._deposed = curio.Event()
 
     def token(self) -> str:
@@ -286,7 +284,21 @@
         at = now
         if entry is not None:
             at = now - max(0.0, time.time() - float(entry.data.get("at", time.time())))
+        job = self.realm.jobs.get(job_id)
         self.realm.job_over(job_id, done, at, now)
+        if job is not None:
+            await self._drop_parts(job)
+
+    async def _drop_parts(self, job: Job) -> None:
+        """Done marks of a large job that is over are of no use any more."""
+        keys = [records.part_key(job.id, part) for part in range(1, records.parts_of(job))]
+        for start in range(0, len(keys), self._txn_ops):
+            drops = [wire.drop(key) for key in keys[start: start + self._txn_ops]]
+            try:
+                await self._store.multi(self._guards(), drops, DECISIONS)
+            except (*TROUBLE, Conflict) as exc:
+                log.debug("parts of %s stay: %s", job.id, exc)
+                return
 
     # -- planning --------------------------------------------------------------
 
@@ -424,6 +436,7 @@
                 continue
             now = await curio.clock()
             self.realm.job_over(job.id, True, now, now)
+            await self._drop_parts(job)
 
     async def _save(self, job: Job, now: float) -> None:
         """Save done marks; the workers' own record is cleared only after."""
--- a/topazhold/control/store.py
+++ b/topazhold/control/store.py
@@ -58,7 +58,6 @@
         self._reads = Bucket(rps)
         self._writes = Bucket(write_rps)
         self._timeout_s = timeout_s
-        self.answered_at = 0.0  # when the service last carried something out
         self.failing_since: float | None = None
 
     def set_share(self, share: float) -> None:
@@ -100,7 +99,6 @@
             if status == 503:
                 self._failed(now)
             raise StoreDown(f"status {status}")
-        self.answered_at = await curio.clock()
         self.failing_since = None
         return status, body
 
--- a/topazhold/control/users.py
+++ b/topazhold/control/users.py
@@ -33,6 +33,11 @@
 OUTAGE_RETRY_S = 2.0
 
 
+def users_request(request: Request) -> bool:
+    """Whether a request is a user's, and not a worker's or a probe."""
+    return request.path.startswith(wire.JOBS_PATH)
+
+
 class Users:
     """Answers users' requests on any controller."""
 
--- a/topazhold/core/gangs.py
+++ b/topazhold/core/gangs.py
@@ -8,10 +8,9 @@
 class GangClock:
     """Time limits, as ratios to the workers' settings."""
 
-    def __init__(self, report_s: float, gang_peer_s: float, gang_wait_s: float) -> None:
+    def __init__(self, report_s: float, gang_wait_s: float) -> None:
         self.start_s = 1.5 * report_s  # from the last image to all running
         self.launch_s = 3.5 * report_s  # from the intents to all launches seen
-        self.peer_s = gang_peer_s
         self.wait_s = 0.8 * gang_wait_s  # the workers' own limit must not come first
 
 
@@ -23,7 +22,7 @@
     job.enter_gang_state(GangState.STARTING, now)
 
 
-def stop(job: Job, settle_s: float, why: str, now: float) -> list[Run]:
+def stop(job: Job, settle_s: float, now: float) -> list[Run]:
     """Tell all tasks at once; the runs that this newly tells are returned.
 
     A stop reaches a gang in order only if every task is told within
@@ -34,7 +33,7 @@
         if run.present:
             if not run.stopping or (run.stop_settle or 0.0) > settle_s:
                 told.append(run)
-            run.stop(settle_s, why, now)
+            run.stop(settle_s, now)
     job.enter_gang_state(GangState.STOPPING, now)
     return told
 
--- a/topazhold/core/jobs.py
+++ b/topazhold/core/jobs.py
@@ -63,7 +63,7 @@
 
     __slots__ = (
         "job", "index", "attempt", "machine", "flight", "state", "since",
-        "ordered_tally", "running_since", "stop_settle", "stop_at", "stop_why",
+        "ordered_tally", "running_since", "stop_settle", "stop_at",
         "unsure", "cause", "kept", "frame",
     )  # fmt: skip
 
@@ -80,7 +80,6 @@
         self.running_since: float | None = None
         self.stop_settle: float | None = None
         self.stop_at = 0.0
-        self.stop_why = ""
         self.unsure = False
         self.cause: str | None = None
         self.kept = False
@@ -127,11 +126,10 @@
         """It is proven that the task is not on its machine and won't be."""
         self._enter(RunState.GONE, now)
 
-    def stop(self, settle_s: float, why: str, now: float) -> None:
+    def stop(self, settle_s: float, now: float) -> None:
         """Ask for a stop; a later call can only shorten the grace."""
         if self.stop_settle is None:
             self.stop_at = now
-            self.stop_why = why
             self.stop_settle = settle_s
         else:
             self.stop_settle = min(self.stop_settle, settle_s)
--- a/topazhold/core/leadership.py
+++ b/topazhold/core/leadership.py
@@ -29,7 +29,6 @@
         self.role = Role.FOLLOWER
         self.queen: str | None = None
         self.crown = 0  # newest crown heard of
-        self.reign_mark = 0  # of the leased key, while this node is queen
 
     @property
     def reigning(self) -> bool:
@@ -40,18 +39,16 @@
         if self.role is Role.FOLLOWER:
             self.role = Role.CANDIDATE
 
-    def win(self, crown: int, mark: int) -> None:
+    def win(self, crown: int) -> None:
         """The election transaction was carried out."""
         self.role = Role.QUEEN
         self.queen = self.node
         self.crown = max(crown, self.crown)
-        self.reign_mark = mark
 
     def step_down(self) -> bool:
         """Give up the role; whether there was one."""
         was = self.role is Role.QUEEN
         self.role = Role.FOLLOWER
-        self.reign_mark = 0
         if self.queen == self.node:
             self.queen = None
         return was
--- a/topazhold/core/machines.py
+++ b/topazhold/core/machines.py
@@ -46,7 +46,6 @@
         self.sick_until = 0.0
         self.on_mark = 0
         self.idle_since = now
-        self.listed_at: float | None = None  # request time of the newest list that had it
         self.unlisted = 0  # lists in a row, asked for after it fell silent, without it
         self.why = ""
         self.reached_at = -1e9  # last report that came to this node itself
@@ -76,12 +75,6 @@
             self.why = why
             self._enter(MachineState.DRAINING, now)
 
-    def recover(self, now: float) -> None:
-        """The reason for draining is over."""
-        if self.state is MachineState.DRAINING:
-            self.why = ""
-            self._enter(MachineState.READY, now)
-
     def release(self, why: str, now: float) -> None:
         """The release is about to be asked for; no way back."""
         if self.state is not MachineState.GONE:
@@ -125,9 +118,6 @@
 
     # -- images ----------------------------------------------------------
 
-    def has_image(self, comb: str) -> bool:
-        return comb in self.images
-
     def fetched(self, comb: str, size_gb: float) -> None:
         """Keep the least recently used images out, as the worker does."""
         self.images[comb] = size_gb
--- a/topazhold/core/realm.py
+++ b/topazhold/core/realm.py
@@ -70,7 +70,7 @@
         self.cancel_s = workers.cancel_s
         self.lag_s = cluster.cloud.list_lag_s
         self.hold_lapse_s = operator.hold_lapse_s
-        self.clock = gangs.GangClock(workers.report_s, workers.gang_peer_s, workers.gang_wait_s)
+        self.clock = gangs.GangClock(workers.report_s, workers.gang_wait_s)
         self.rent_rules = renting.RentRules(
             operator.headroom_share, operator.idle_boots, operator.use_spot
         )
@@ -206,7 +206,6 @@
                 machine.rented_at = now - box.age_s
             if machine.endpoint is None:
                 machine.endpoint = box.endpoint
-            machine.listed_at = asked_at
             machine.unlisted = 0
             if box.stage == wire.LISTED_FAILED:
                 self.release(machine, "failed", now)
@@ -448,11 +447,11 @@
         if not run.stopping or (run.stop_settle or 0.0) > settle_s:
             log.info("task %s try %d on %s stopped: %s", run.frame, run.attempt, run.machine, why)
             self.strikes.add(run.machine)
-        run.stop(settle_s, why, now)
+        run.stop(settle_s, now)
 
     def _stop_gang(self, job: Job, settle_s: float, why: str, now: float) -> None:
         """Stop a whole gang in order; unsent tasks simply leave."""
-        told = gangs.stop(job, settle_s, why, now)
+        told = gangs.stop(job, settle_s, now)
         if told:
             log.info("gang %s stopped: %s", job.id, why)
         for run in told:
--- a/topazhold/io/http.py
+++ b/topazhold/io/http.py
@@ -57,13 +57,23 @@
 
 
 class Server:
-    """Serves one address; at most `most` connections, the longest idle goes first."""
+    """Serves one address, with a bound on all connections and one on some.
 
-    def __init__(self, handler: Handler, most: int, idle_s: float) -> None:
+    Connections whose first request `is_guest` names are guests: they may take
+    `most_guests` at the most, so that others always find room.
+    """
+
+    def __init__(
+        self, handler: Handler, most: int, idle_s: float,
+        is_guest: Callable[[Request], bool] = lambda request: False, most_guests: int = 0,
+    ) -> None:  # fmt: skip
         self._handler = handler
         self._most = most
         self._idle_s = idle_s
+        self._is_guest = is_guest
+        self._most_guests = most_guests
         self._open = 0
+        self._guests = 0
 
     async def run(self, address: tuple[str, int]) -> None:
         """Accept connections until cancelled."""
@@ -81,26 +91,38 @@
 
     async def _talk(self, sock: Any) -> None:
         conn = h11.Connection(h11.SERVER, max_incomplete_event_size=HEADER_LIMIT)
-        while True:
-            try:
-                request = await curio.timeout_after(self._idle_s, self._receive, sock, conn)
-            except h11.RemoteProtocolError as exc:
-                await self._refuse(sock, conn, exc.error_status_hint or 400)
-                return
-            if request is None:
-                return
-            if isinstance(request, Answer):
-                answer = request
-            else:
-                answer = await self._answer(request)
-            body = b"" if answer.body is None else pack(answer.body)
-            headers = answer.headers(len(body))
-            out = conn.send(h11.Response(status_code=answer.status, headers=headers))
-            out += conn.send(h11.Data(data=body)) + conn.send(h11.EndOfMessage())
-            await sock.sendall(out)
-            if answer.close or conn.our_state is not h11.DONE or conn.their_state is not h11.DONE:
-                return
-            conn.start_next_cycle()
+        guest = False
+        try:
+            while True:
+                try:
+                    request = await curio.timeout_after(self._idle_s, self._receive, sock, conn)
+                except h11.RemoteProtocolError as exc:
+                    await self._refuse(sock, conn, exc.error_status_hint or 400)
+                    return
+                if request is None:
+                    return
+                if isinstance(request, Request) and not guest and self._is_guest(request):
+                    if self._guests >= self._most_guests:
+                        request = Answer(503, retry_after=1.0, close=True)
+                    else:
+                        guest = True
+                        self._guests += 1
+                answer = request if isinstance(request, Answer) else await self._answer(request)
+                if not await self._send(sock, conn, answer):
+                    return
+                conn.start_next_cycle()
+        finally:
+            self._guests -= guest
+
+    async def _send(self, sock: Any, conn: h11.Connection, answer: Answer) -> bool:
+        """Send an answer; whether the connection can go on."""
+        body = b"" if answer.body is None else pack(answer.body)
+        headers = answer.headers(len(body))
+        out = conn.send(h11.Response(status_code=answer.status, headers=headers))
+        out += conn.send(h11.Data(data=body)) + conn.send(h11.EndOfMessage())
+        await sock.sendall(out)
+        done = conn.our_state is h11.DONE and conn.their_state is h11.DONE
+        return done and not answer.close
 
     async def _answer(self, request: Request) -> Answer:
         try:
--- a/topazhold/settings.py
+++ b/topazhold/settings.py
@@ -16,7 +16,6 @@
 class Seed(msgspec.Struct):
     node_name: str
     addr: str
-    domain: str = ""
 
 
 class Outside(msgspec.Struct):
@@ -35,9 +34,6 @@
 class Objective(msgspec.Struct):
     kind: str
     lane: str | None = msgspec.field(name="class", default=None)
-    within_s: float | None = None
-    share: float = 0.0
-    times: float | None = None
 
 
 class Workers(msgspec.Struct):
@@ -61,8 +57,6 @@
 
 
 class Limits(msgspec.Struct):
-    cpu_share: float = 1.0
-    mem_mb: float = 256.0
     sockets: int = 512
 
 
@@ -74,15 +68,12 @@
     cloud: Cloud
     limits: Limits
     objectives: list[Objective] = []
-    initial_size: int = 1
-    clock_error_ms: float = 0.0
 
 
 class Settings(msgspec.Struct):
-    """What the platform hands over."""
+    """What the platform hands over, as far as it is used; the rest is ignored."""
 
     node_name: str
-    domain: str
     bind: str
     peer_listen: str
     outside: Outside
@@ -191,7 +182,7 @@
         ("headroom_share", 0.0, 4.0),
         ("reserve_share", 0.0, 0.9),
         ("idle_boots", 0.0, 100.0),
-        ("user_socket_share", 0.05, 0.9),
+        ("user_socket_share", 0.05, 0.75),
     ):
         value = getattr(operator, name)
         if not math.isfinite(value) or not least <= value <= most:
--- a/topazhold/wire/messages.py
+++ b/topazhold/wire/messages.py
@@ -39,16 +39,10 @@
 ENDED = "ended"
 
 CAUSE_DONE = "done"
-CAUSE_STOPPED = "stopped"
-CAUSE_PEERS = "peers"
-CAUSE_INCOMPLETE = "incomplete"
 CAUSE_ERROR = "error"
 CAUSE_NO_ROOM = "no_room"
-CAUSE_BUSY = "busy"
 CAUSE_UNKNOWN = "unknown"
 
-LISTED_STARTING = "starting"
-LISTED_RUNNING = "running"
 LISTED_FAILED = "failed"
 
 _JOB_ID = re.compile(r"wk-[0-9]{1,18}\Z")
