--- a/topazhold/core/realm.py
+++ b/topazhold/core/realm.py
@@ -605,7 +605,7 @@
         """
         return (
             machine.state is MachineState.UNSYNCED
-            and now - max(machine.reached_at, self.since) > 1.5 * self.report_s
+            and now - max(machine.reached_at, self.since) > 0.4 * self.report_s
         )
 
     def usable(self, machine: Machine, now: float) -> bool:
