--- a/tests/test_users.py
+++ b/tests/test_users.py
@@ -163,3 +163,17 @@
         assert fresh.done == job.done
 
     scene(monkeypatch, act)
+
+
+def test_a_service_runs_until_it_is_cancelled(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def act(world: World, node: Any) -> None:
+        assert (await submit(node, shape="daemon")).status == 201
+        await curio.sleep(1.0)
+        job = node.reign.realm.jobs["wk-000001"]
+        assert not job.gang and job.waiting_count == 2
+        answer = await ask(node, "POST", "/api/jobs/wk-000001/cancel")
+        assert answer.body["stage"] == "aborted"
+        await curio.sleep(1.0)
+        assert "wk-000001" not in node.reign.realm.jobs
+
+    scene(monkeypatch, act)
--- a/topazhold/control/users.py
+++ b/topazhold/control/users.py
@@ -112,11 +112,13 @@
         job_id = raw.get("id") if isinstance(raw, dict) else None
         if not isinstance(job_id, str) or not wire.valid_job_id(job_id):
             return Answer(400)
-        status, spec = self._judge(raw)
+        status, spec, why = self._judge(raw)
         if status != 201 or spec is None:
             # A repeat of an accepted job is answered with its state, whatever
             # its body would get now.
             known = await self._state(job_id)
+            if known is None:
+                log.info("job %s refused: %d, %s", job_id, status, why)
             return known or Answer(status, retry_after=1.0 if status == 503 else None)
         job = Job(spec, await curio.clock(), time.time(), self._node)
         token = self._token()
@@ -139,26 +141,27 @@
         await self._accepted(job)
         return Answer(201, wire.job_answer(job_id, wire.PENDING))
 
-    def _judge(self, raw: dict[str, Any]) -> tuple[int, JobSpec | None]:
-        """The status that a new job would get."""
+    def _judge(self, raw: dict[str, Any]) -> tuple[int, JobSpec | None, str]:
+        """The status that a new job would get, with the reason."""
         try:
             spec = convert(raw, JobSpec)
-        except BadMessage:
-            return 400, None
-        if spec.fault() is not None:
-            return 400, None
+        except BadMessage as exc:
+            return 400, None, str(exc)
+        fault = spec.fault()
+        if fault is not None:
+            return 400, None, f"bad {fault}"
         if not self._breeds:
-            return 503, None
+            return 503, None, "machine types not known yet"
         if spec.breeds is not None:
             # Types that the cloud does not have can't be used; this bounds the list.
             known = sorted(set(spec.breeds) & self._breeds.keys())
             spec = msgspec.structs.replace(spec, breeds=known)
         team = self._teams.get(spec.crew)
         if team is None or not self._team_takes(team, spec):
-            return 422, None
+            return 422, None, "unknown team, or more than its limit"
         if not renting.fits_some_type(spec, self._breeds.values()):
-            return 422, None
-        return 201, spec
+            return 422, None, "fits no allowed machine type"
+        return 201, spec, ""
 
     @staticmethod
     def _team_takes(team: Team, spec: JobSpec) -> bool:
--- a/topazhold/wire/messages.py
+++ b/topazhold/wire/messages.py
@@ -28,6 +28,7 @@
 
 GANG = "gang"
 BATCH = "batch"
+DAEMON = "daemon"  # tasks that run until their user cancels them; placed like an array's
 URGENCIES = ("critical", "urgent", "normal", "best_effort")
 MOST_FRAMES = 100_000
 LONGEST_NAME = 200
@@ -83,7 +84,7 @@
                 return name
         if not valid_job_id(self.id):
             return "id"
-        if self.shape not in (GANG, BATCH):
+        if self.shape not in (GANG, BATCH, DAEMON):
             return "shape"
         if self.urgency not in URGENCIES:
             return "urgency"
