--- a/tests/test_realm.py
+++ b/tests/test_realm.py
@@ -6,6 +6,7 @@
 from topazhold.core import preemption, recovery
 from topazhold.core.jobs import GangState, Job, JobState, RunState
 from topazhold.core.machines import MachineState
+from topazhold.wire.messages import FrameReport
 
 
 def launched(calls: list) -> list[str]:
@@ -380,3 +381,27 @@
     bench.now += 0.11 * bench.realm.cancel_s
     bench.realm.tick(bench.now)
     assert "host-0" in bench.realm.releases and bench.realm.must_go("host-0")
+
+
+def test_takeover_while_a_gang_is_stopped_lets_it_save() -> None:
+    bench = Bench(machines=0, crown=8)
+    job = Job(make_spec(frames=2), bench.now, 1e9, "hive-0")
+    place = ("a", False, "b1")
+    intents = [
+        ("host-0", 1, 7, [("wk-000001", 0, 77)], place),
+        ("host-2", 1, 7, [("wk-000001", 1, 77)], place),
+    ]
+    recovery.take_over(bench.realm, [job], intents, bench.now)
+    for index, name in enumerate(("host-0", "host-2")):
+        frame = f"wk-000001/{index}"
+        bench.frames[name] = {(frame, 77): FrameReport(frame, 77, "flushing")}
+        bench.report(name)
+    bench.stage("host-0", "ended", "stopped", kept=True)
+    bench.report("host-0")
+    bench.realm.tick(bench.now)
+    assert job.gang_state is GangState.STOPPING
+    assert all(call.settle_s != 0.0 for call in bench.report("host-2"))
+    bench.stage("host-2", "ended", "stopped", kept=True)
+    bench.report("host-2")
+    bench.realm.tick(bench.now)
+    assert job.gang_state is GangState.WAITING
--- a/topazhold/control/store.py
+++ b/topazhold/control/store.py
@@ -141,7 +141,8 @@
             return read(answer, wire.Committed).harvest
         if status == 409:
             raise Conflict(read(answer, wire.Committed).failed)
-        log.error("state service answered %d to a transaction: %r", status, answer[:200])
+        # 400 comes where a lease ended while the transaction was on its way.
+        log.info("state service answered %d to a transaction: %r", status, answer[:200])
         raise StoreDown(f"status {status}")
 
     async def commit(
--- a/topazhold/core/realm.py
+++ b/topazhold/core/realm.py
@@ -550,7 +550,11 @@
         if job.gang_state is GangState.RUNNING and before is GangState.STARTING:
             log.info("gang %s runs, %.1f s after it came", job.id, now - job.arrived)
         if why is not None and not job.complete:
-            running = before is GangState.RUNNING
+            # A gang found saving at a take-over must be let finish that: a second
+            # kill without grace would cost what it is about to have saved.
+            running = before is GangState.RUNNING or any(
+                run.state is RunState.FLUSHING for run in job.runs.values()
+            )
             settle = job.spec.seal_s + self.report_s if running and job.spec.cap_s > 0 else 0.0
             self._stop_gang(job, settle, why, now)
             gangs.step(job, self.clock, now)
