Plan, search and summarise at a cost that doesn't grow with jobs times machines

A queen did nothing but plan. What holds keep, which machines have room and what lower work takes is now added up once per round; plans and searches pause for a multiple of what they took; the swap loop ends with a round that finds nothing better.

Ruled out: HTTP and CBOR (0.6 of 2.1 s in 30 s of the queen), state service's answers.

--- a/topazhold/control/node.py
+++ b/topazhold/control/node.py
@@ -48,6 +48,8 @@
 PEER_SUMMARY_S = 1.0
 #: Share of the sockets for those who connect to this node.
 SERVED_SHARE = 0.8
+#: Time left to reports and users after a round of searches, as a multiple of its own.
+SEARCH_PAUSE = 4.0
 #: Unheard machines named in a ping.
 MOST_SILENT = 100
 
@@ -478,16 +480,19 @@
             if permit is None:
                 continue
             try:
-                await self._book(permit, await curio.clock())
+                busy = await self._book(permit, await curio.clock())
             except TROUBLE as exc:
                 log.debug("booking: %s", exc)
+            else:
+                await curio.sleep(busy * SEARCH_PAUSE)
 
-    async def _book(self, permit: int, now: float) -> None:
+    async def _book(self, permit: int, now: float) -> float:
+        """One round of searches; the time that it kept this process busy."""
         reign = self.reign
         booking = self.booking
         if reign is not None:
             if not reign.loaded:
-                return
+                return 0.0
             self._wanted_of_queen(reign, now)
             view = reign.view(now) if booking.wanted else self.view
         else:
@@ -497,9 +502,12 @@
             await self._wanted_of_follower(now)
             if booking.wanted:
                 await booking.read_book()
+        began = time.monotonic()
         booking.round(view, now)
+        busy = time.monotonic() - began
         if await booking.write(permit, now) and reign is not None:
             await reign.stir()
+        return busy
 
     def _wanted_of_queen(self, reign: Reign, now: float) -> None:
         """Her own gangs, and those whose controller is gone or finds nothing."""
--- a/topazhold/control/reign.py
+++ b/topazhold/control/reign.py
@@ -41,6 +41,11 @@
 
 #: Seconds between tries of whatever failed, as a share of the report period.
 RETRY_REPORTS = 0.25
+#: Shortest times between looks at the clocks of all, and between plans.
+TICK_REPORTS = 0.1
+PLAN_REPORTS = 0.03
+#: Time left to others after deciding, as a multiple of what it took.
+DECIDING_PAUSE = 3.0
 #: Waiting gangs and running counts told in the summary.
 MOST_TOLD = 60
 #: Direct commands under way at once.
@@ -193,7 +198,7 @@
         machine = self.realm.report(rep, direct, now)
         if machine is None:
             return None, []
-        if not direct and self.realm.wants_plan(now):
+        if not direct and self.realm.wants_plan(machine, now):
             await self.plan_now(0.1 * self._report_s)
         else:
             await self._wake.set()
@@ -303,18 +308,26 @@
     # -- planning --------------------------------------------------------------
 
     async def _plan_loop(self) -> None:
+        ticked_at = -1e9
         while True:
             await curio.ignore_after(self._retry_s, self._wake.wait)
             self._wake.clear()
-            now = await curio.clock()
-            self.realm.tick(now)
+            busy = 0.0  # time spent on deciding, waits for the state service left out
             for _ in range(4):
-                runs = self.realm.plan(await curio.clock())
+                now = await curio.clock()
+                if now - ticked_at > TICK_REPORTS * self._report_s:
+                    ticked_at = now
+                    self.realm.tick(now)
+                runs = self.realm.plan(now)
+                busy += time.monotonic() - now
                 if not runs:
                     break
                 await self._write_intents(runs)
             passed, self._round = self._round, curio.Event()
             await passed.set()
+            # Every report wakes this loop. Without a pause that grows with the
+            # cost of a round, a queen of many machines did nothing but plan.
+            await curio.sleep(max(PLAN_REPORTS * self._report_s, busy * DECIDING_PAUSE))
 
     async def _write_intents(self, runs: list[Run]) -> None:
         """Commit the intents of a plan, a few machines at a time, before any launch."""
--- a/topazhold/control/store.py
+++ b/topazhold/control/store.py
@@ -138,6 +138,7 @@
         body = wire.multi_body([wire.guard(key, mark) for key, mark in guards], then)
         status, answer = await self._ask("POST", wire.MULTI_PATH, body, rank, writes=len(then))
         if status == 200:
+            log.debug("%d changes written, the first to %s", len(then), _first_key(then))
             return read(answer, wire.Committed).harvest
         if status == 409:
             raise Conflict(read(answer, wire.Committed).failed)
@@ -220,6 +221,10 @@
         return read(body, wire.WatchPage)
 
 
+def _first_key(then: list[dict[str, Any]]) -> str:
+    return wire.changed_key(then[0]) if then else "nothing"
+
+
 def _token(entry: Entry) -> Any:
     return entry.data.get("by") if isinstance(entry.data, dict) else None
 
--- a/topazhold/core/holds.py
+++ b/topazhold/core/holds.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
 from topazhold.core.jobs import Room
@@ -120,13 +120,7 @@
         for hold in self.all():
             if hold.job == skip_job or hold.rank > rank or not binding(hold):
                 continue
-            for machine, count in hold.slots.items():
-                room = rooms.get(machine, (0.0, 0.0, 0.0))
-                rooms[machine] = (
-                    room[0] + hold.need[0] * count,
-                    room[1] + hold.need[1] * count,
-                    room[2] + hold.need[2] * count,
-                )
+            add_hold(rooms, hold)
         return rooms
 
     def guards(self) -> list[tuple[str, int]]:
@@ -134,3 +128,48 @@
         marks = {node: mark for node, mark in self.marks.items()}
         marks.setdefault(self.node, 0)
         return [(HOLD_PREFIX + node, mark) for node, mark in sorted(marks.items())]
+
+
+class HeldRooms:
+    """What binding holds keep, added up once per rank for a round of planning."""
+
+    def __init__(self, book: HoldBook, binding: Callable[[Hold], bool]) -> None:
+        self._holds = [hold for hold in book.all() if binding(hold)]
+        self._own: dict[str, list[Hold]] = {}
+        for hold in self._holds:
+            self._own.setdefault(hold.job, []).append(hold)
+        self._sums: dict[tuple[int, int], dict[str, Room]] = {}
+
+    def release(self, job: str) -> None:
+        """The job begins: its holds keep nothing any more."""
+        for hold in self._own.pop(job, ()):
+            self._holds.remove(hold)
+            for rank, rooms in self._sums.items():
+                if hold.rank <= rank:
+                    add_hold(rooms, hold, -1)
+
+    def taken(self, skip_job: str, rank: tuple[int, int]) -> Mapping[str, Room]:
+        """As `HoldBook.taken`."""
+        rooms = self._sums.get(rank)
+        if rooms is None:
+            rooms = self._sums[rank] = {}
+            for hold in self._holds:
+                if hold.rank <= rank:
+                    add_hold(rooms, hold)
+        own = [hold for hold in self._own.get(skip_job, ()) if hold.rank <= rank]
+        if own:
+            rooms = dict(rooms)
+            for hold in own:
+                add_hold(rooms, hold, -1)
+        return rooms
+
+
+def add_hold(rooms: dict[str, Room], hold: Hold, sign: int = 1) -> None:
+    """Add a hold's room, machine by machine."""
+    need = hold.need
+    for machine, count in hold.slots.items():
+        room = rooms.get(machine, (0.0, 0.0, 0.0))
+        times = count * sign
+        rooms[machine] = (
+            room[0] + need[0] * times, room[1] + need[1] * times, room[2] + need[2] * times
+        )  # fmt: skip
--- a/topazhold/core/ledger.py
+++ b/topazhold/core/ledger.py
@@ -11,7 +11,7 @@
 
 from topazhold.core import gangs, quota, records, renting
 from topazhold.core.estimates import Estimates
-from topazhold.core.holds import HoldBook
+from topazhold.core.holds import HeldRooms, HoldBook
 from topazhold.core.jobs import UNSENT, Job, JobState, Room, Run, RunState
 from topazhold.core.machines import Machine, MachineState
 from topazhold.settings import Operator, Settings
@@ -26,6 +26,9 @@
 
 NO_ROOM: Room = (0.0, 0.0, 0.0)
 
+#: Per team, for each job with tasks on machines: urgency, rank, CPUs, cards.
+LowerWork = dict[str, list[tuple[int, tuple[int, int], float, float]]]
+
 #: States of a machine whose worker has been heard.
 UP = (MachineState.UNSYNCED, MachineState.READY, MachineState.DRAINING)
 
@@ -80,6 +83,10 @@
         self.quick_lanes = {aim.lane for aim in cluster.objectives if aim.kind == "wait"}
         self.reserve_share = operator.reserve_share
         self._free_plain = 0.0
+        # Of the round of planning that is under way:
+        self._held = HeldRooms(book, lambda hold: False)
+        self._roomy: list[Machine] = []
+        self._lower: LowerWork | None = None
 
     def add_job(self, job: Job) -> None:
         """A job is live: accepted just now, or found by a new queen."""
--- a/topazhold/core/placing.py
+++ b/topazhold/core/placing.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from topazhold.core import gangs, preemption
-from topazhold.core.holds import Hold
+from topazhold.core.holds import HeldRooms, Hold
 from topazhold.core.jobs import GangState, Job, JobState, Room, Run, RunState
-from topazhold.core.ledger import NO_ROOM
+from topazhold.core.ledger import NO_ROOM, LowerWork
 from topazhold.core.machines import Machine, MachineState, fits, plus, times_fits
 from topazhold.core.observing import BAD_JOB_MACHINES, Observing
 from topazhold.core.search import allowed
@@ -20,19 +20,31 @@
 
 
 class Placing(Observing):
-    """Plans of new runs; their intents are written before anything is launched."""
-
-    def wants_plan(self, now: float) -> bool:
-        """Whether a round of planning might place something."""
-        return any(
+    """Plans of new runs; their intents are written before anything is launched.
+
+    What many jobs ask for is added up once per round: what holds keep, which
+    machines have room at all, what a team's lower work takes. Done per job, a
+    round's cost grew with jobs times machines times holds, and a queen of 150
+    machines spent her whole share of a core on it.
+    """
+
+    def wants_plan(self, machine: Machine, now: float) -> bool:
+        """Whether a round of planning might place something on this machine."""
+        room = machine.free()
+        return self.usable(machine, now) and any(
             job.waiting_count > 0 and job.not_before <= now
             and (not job.gang or job.gang_state is GangState.WAITING)
+            and fits(job.need, room)
             for job in self.jobs.values() if job.state is JobState.LIVE
         )  # fmt: skip
 
     def plan(self, now: float) -> list[Run]:
         """New runs; their intents are to be written before anything else."""
         self.refresh_guarantees()
+        jobs = self._waiting_jobs(now)
+        if not jobs:
+            return []
+        self._survey(jobs, now)
         planned: list[Run] = []
         touched: set[str] = set()
         # What gangs whose machines are free are to have of their teams' limits.
@@ -40,7 +52,7 @@
         # that needs more at once waits until they are all done.
         self._claims = {}
         self._free_plain = self._plain_cards(now)
-        for job in self._waiting_jobs(now):
+        for job in jobs:
             if len(planned) >= MOST_PLANNED:
                 break
             if job.gang:
@@ -49,6 +61,21 @@
                 self._plan_array(job, planned, touched, now)
         return planned
 
+    def _survey(self, jobs: list[Job], now: float) -> None:
+        """What a round of planning needs to know of the whole fleet."""
+        self._lower = None
+        self._held = HeldRooms(self.book, self._binding)
+        least = (
+            min(job.need[0] for job in jobs),
+            min(job.need[1] for job in jobs),
+            min(job.need[2] for job in jobs),
+        )
+        self._roomy = [
+            machine for machine in self.machines.values()
+            if self.usable(machine, now) and machine.breed is not None
+            and fits(least, machine.free())
+        ]  # fmt: skip
+
     def _claim(self, job: Job) -> None:
         old = self._claims.get(job.spec.crew, (0.0, 0.0))
         size = job.spec.frames
@@ -70,14 +97,31 @@
             if run.present and not (other.gang and other.gang_state is GangState.STARTING)
         ]  # fmt: skip
 
+    def _lower_work(self) -> LowerWork:
+        """What each job has on machines, by team; added up once per round."""
+        if self._lower is not None:
+            return self._lower
+        self._lower = {}
+        for job in self.jobs.values():
+            if not job.runs or (job.gang and job.gang_state is GangState.STARTING):
+                continue
+            count = sum(run.present for run in job.runs.values())
+            if count:
+                self._lower.setdefault(job.spec.crew, []).append(
+                    (job.level, preemption.rank(job), job.need[0] * count, job.need[1] * count)
+                )
+        return self._lower
+
     def _limit_reachable(self, job: Job) -> bool:
         """Whether the gang fits its team's limit, lower work of the team stopped."""
         if self.usage.allows(job, job.spec.frames):
             return True
         vcpus = cards = 0.0
-        for run in self._lower_runs(job):
-            vcpus += run.job.need[0]
-            cards += run.job.need[1]
+        rank = preemption.rank(job)
+        for level, of_rank, of_vcpus, of_cards in self._lower_work().get(job.spec.crew, ()):
+            if level > job.level and of_rank > rank:
+                vcpus += of_vcpus
+                cards += of_cards
         return self.usage.allows(job, job.spec.frames, (-vcpus, -cards))
 
     def _make_limit(self, job: Job, now: float) -> None:
@@ -138,7 +182,7 @@
             return
         if not self._limit_reachable(job):
             return
-        taken = self.book.taken(job.id, preemption.rank(job), self._binding)
+        taken = self._held.taken(job.id, preemption.rank(job))
         short: list[tuple[Machine, Room]] = []
         for name, count in hold.slots.items():
             machine = self.machines[name]
@@ -166,6 +210,7 @@
             for _ in range(count):
                 runs.append(self._new_run(job, next(tasks), self.machines[name], attempt, now))
         gangs.begin(job, runs, now)
+        self._held.release(job.id)
         job.starting_hold = hold.serial
         planned += runs
         log.info(
@@ -208,7 +253,8 @@
         return None
 
     def _make_room(
-        self, job: Job, short: list[tuple[Machine, Room]], taken: dict[str, Room], now: float
+        self, job: Job, short: list[tuple[Machine, Room]], taken: Mapping[str, Room],
+        now: float,
     ) -> None:
         """Stop others for a held group, all of it or nothing."""
         chosen: list[Run] = []
@@ -229,7 +275,7 @@
         self, job: Job, planned: list[Run], touched: set[str], now: float
     ) -> None:
         spec = job.spec
-        taken = self.book.taken(job.id, preemption.rank(job), self._binding)
+        taken = self._held.taken(job.id, preemption.rank(job))
         places = self._array_places(job, taken, now)
         zones = job.zones_used(self.zone_of) if spec.same_place or spec.scatter else {}
         most_in_zone = (spec.frames + 1) // 2
@@ -299,13 +345,13 @@
         return max(sums, key=lambda zone: (sums[zone], zone), default="\0none")
 
     def _array_places(
-        self, job: Job, taken: dict[str, Room], now: float
+        self, job: Job, taken: Mapping[str, Room], now: float
     ) -> list[tuple[Machine, int]]:
         """Machines with room, the ones where tasks start soonest first."""
         spec = job.spec
         found = []
-        for machine in self.machines.values():
-            if not self.usable(machine, now) or machine.breed is None:
+        for machine in self._roomy:
+            if machine.breed is None or not self.usable(machine, now):
                 continue
             if not allowed(spec, machine.breed.label, machine.zone, machine.spot):
                 continue
@@ -324,7 +370,7 @@
         found.sort(key=lambda place: place[:3])
         return [(place[3], place[4]) for place in found]
 
-    def _array_starves(self, job: Job, taken: dict[str, Room], now: float) -> None:
+    def _array_starves(self, job: Job, taken: Mapping[str, Room], now: float) -> None:
         """Within its guarantee a job gets back what other teams have borrowed."""
         if not job.within or not self.usage.allows(job, 1, self._claimed(job)):
             return
--- a/topazhold/core/realm.py
+++ b/topazhold/core/realm.py
@@ -25,6 +25,7 @@
     def waiting_gangs(self, now: float) -> list[Job]:
         """Gangs that need a hold: none in force, and their team may use the room."""
         found = []
+        self._lower = None
         for job in self._waiting_jobs(now):
             if not job.gang or not self._limit_reachable(job):
                 continue
@@ -91,22 +92,28 @@
 
     def _evictable(self, machine: Machine) -> list[tuple[Rank, float, Room]]:
         """Room that work of each rank could take from work behind it."""
-        runs = [
-            run for run in machine.runs.values()
-            if not (run.job.gang and run.job.gang_state is GangState.STARTING)
-        ]  # fmt: skip
+        # Runs of one kind of job are added up first: this is asked of every
+        # machine for every summary.
+        kinds: dict[tuple[bool, int], tuple[Job, Room, float]] = {}
+        for run in machine.runs.values():
+            job = run.job
+            if job.gang and job.gang_state is GangState.STARTING:
+                continue
+            seal = job.spec.seal_s if job.spec.cap_s > 0 else 0.0
+            kind = (job.within, job.level)
+            _, room, longest = kinds.get(kind, (job, NO_ROOM, 0.0))
+            kinds[kind] = (job, plus(room, job.need), max(longest, seal))
         found = []
-        for outside in (0, 1):
+        for outside in (0, 1) if kinds else ():
             for level in range(len(wire.URGENCIES)):
                 room = NO_ROOM
-                delay = self.report_s
-                for run in runs:
-                    if preemption.behind((outside, level), run.job):
-                        room = plus(room, run.job.need)
-                        if run.job.spec.cap_s > 0:
-                            delay = max(delay, self.report_s + run.job.spec.seal_s)
+                delay = 0.0
+                for job, of_kind, seal in kinds.values():
+                    if preemption.behind((outside, level), job):
+                        room = plus(room, of_kind)
+                        delay = max(delay, seal)
                 if room != NO_ROOM:
-                    found.append(((outside, level), delay, room))
+                    found.append(((outside, level), self.report_s + delay, room))
         return found
 
     def directory(self) -> list[tuple[str, str]]:
@@ -125,6 +132,7 @@
         found = renting.wishes(
             self.jobs.values(), breeds, self.usage.teams, self.zone_of, self.rent_rules, growing
         )
+        self._lower = None
         held = {name for hold in self.book.all() if self._binding(hold) for name in hold.slots}
         asks: list[renting.Ask] = []
         for breed in breeds:
--- a/topazhold/core/search.py
+++ b/topazhold/core/search.py
@@ -163,8 +163,13 @@
 def gather(
     rng: Random, directory: Sequence[tuple[str, str]], caches: Mapping[str, Sequence[Offer]],
     spec: JobSpec, rank: Rank, taken: Mapping[str, Room], rules: SearchRules,
+    seen: dict[str, list[Slot]] | None = None,
 ) -> list[Slot]:  # fmt: skip
-    """Alpha·N candidate slots from a random pivot's cache and those it leads to."""
+    """Alpha·N candidate slots from a random pivot's cache and those it leads to.
+
+    `seen` keeps the slots of caches that an earlier try of the same search read.
+    """
+    seen = {} if seen is None else seen
     want = max(spec.frames, math.ceil(rules.alpha * spec.frames))
     pivots = [zone for _, zone in directory if spec.apiary is None or zone == spec.apiary]
     found: list[Slot] = []
@@ -175,10 +180,9 @@
         if zone in visited:
             continue
         visited.add(zone)
-        near: list[Slot] = []
-        for offer in caches.get(zone, ()):
-            near += offer_slots(offer, spec, rank, taken.get(offer.name), spec.frames, rules)
-        near.sort(key=lambda slot: (slot.ready + slot.cost, slot.nth))
+        if zone not in seen:
+            seen[zone] = _cache_slots(caches.get(zone, ()), spec, rank, taken, rules)
+        near = seen[zone]
         if spec.same_place:
             if len(near) >= spec.frames:
                 return near[:want]
@@ -189,6 +193,18 @@
     return [] if spec.same_place else found
 
 
+def _cache_slots(
+    offers: Sequence[Offer], spec: JobSpec, rank: Rank, taken: Mapping[str, Room],
+    rules: SearchRules,
+) -> list[Slot]:  # fmt: skip
+    """All slots of a zone's cache, the soonest ready first."""
+    slots: list[Slot] = []
+    for offer in offers:
+        slots += offer_slots(offer, spec, rank, taken.get(offer.name), spec.frames, rules)
+    slots.sort(key=lambda slot: (slot.ready + slot.cost, slot.nth))
+    return slots
+
+
 def score_group(group: Sequence[Slot], spec: JobSpec, rules: SearchRules) -> float:
     """Lower is better; infinite if the job's placement rules are broken."""
     zones: dict[str, int] = {}
@@ -233,13 +249,17 @@
             break
     if len(slots) > size:
         for _ in range(rules.rounds):
+            improved = False
             for number, (group, score) in enumerate(groups):
                 swapped = _swap(rng, group, slots)
                 new_score = score_group(swapped, spec, rules)
                 if new_score < score:
                     groups[number] = (swapped, new_score)
+                    improved = True
                     if new_score < best_score:
                         best, best_score = swapped, new_score
+            if not improved:
+                break  # a round without a better group: more of them seldom help
     if best is None or math.isinf(best_score):
         return None
     counts: dict[str, int] = {}
@@ -297,8 +317,9 @@
 ) -> Group | None:  # fmt: skip
     """The best group of a few independent searches, each from its own pivot."""
     best: Group | None = None
+    seen: dict[str, list[Slot]] = {}
     for _ in range(tries):
-        slots = gather(rng, directory, caches, spec, rank, taken, rules)
+        slots = gather(rng, directory, caches, spec, rank, taken, rules, seen)
         group = pick(rng, slots, spec, rules) if slots else None
         if group is not None and (best is None or group.score < best.score):
             best = group
--- a/topazhold/wire/messages.py
+++ b/topazhold/wire/messages.py
@@ -280,6 +280,10 @@
     return {"drop": key}
 
 
+def changed_key(change: dict[str, Any]) -> str:
+    return str(change.get("put") or change["drop"])
+
+
 def multi_body(guards: list[dict[str, Any]], then: list[dict[str, Any]]) -> dict[str, Any]:
     return {"guards": guards, "then": then}
 
