Deaf machines, late copies, nodes off all but their workers, odd records

A machine whose launches get lost twice, or whose lease ends though it was answered, is deaf: no work, hold or capacity until a session outlasts its lease; alone for two leases it is released. Launches go out only in the session that the intent names, so a newer session proves an earlier reign's tasks gone. A machine known only by a report under an older crown does not count until listed. A node that reaches neither state service nor peers sends workers away unless its zone is cut. A queen launches nothing once her grant may have passed on. One unreadable job record kept a new queen from taking over at all; it is logged and left.

--- a/topazhold/control/node.py
+++ b/topazhold/control/node.py
@@ -87,8 +87,9 @@
             settings, self.store, self.breeds, self._accepted, self._running_count
         )
         self.shelter = Shelter(
-            self.leadership, self.grant_s, cluster.workers.lease_s, time.monotonic()
-        )
+            self.leadership, settings.domain, len(settings.seeds), self.grant_s,
+            cluster.workers.lease_s, time.monotonic(),
+        )  # fmt: skip
         self.barred_until = 0.0
         self.reign: Reign | None = None
         self.permit: int | None = None
@@ -152,6 +153,11 @@
         answer = await self.users.handle(request)
         return answer if answer is not None else Answer(404)
 
+    def _served(self, now: float) -> bool:
+        """Whether the state service answers this node, a hiccup aside."""
+        failing = self.store.failing_since
+        return failing is None or now - failing < 0.3 * self.grant_s
+
     def _healthy(self, now: float) -> bool:
         """Whether requests can be taken here.
 
@@ -161,10 +167,7 @@
         """
         if not self.breeds:
             return False
-        failing = self.store.failing_since
-        if failing is None or now - failing < 0.3 * self.grant_s:
-            return True
-        return not self.shelter.alone(now)
+        return self._served(now) or not self.shelter.alone(now)
 
     async def _report(self, body: bytes) -> Answer:
         try:
@@ -182,6 +185,12 @@
                 await self._depose("a worker knows a higher crown")
             lead.queen = None
             return Answer(421, wire.redirect(None))
+        now = await curio.clock()
+        if self.shelter.adrift(self._served(now), now):
+            # Nothing that this node hears reaches anybody: not even a queen may
+            # hold workers here, once her grant may have passed on.
+            if now > self.valid_until and not self.shelter.keeps_adrift(rep, now):
+                return Answer(421, wire.redirect(None))
         if reign is None or not lead.reigning:
             if self.shelter.keeps(rep, await curio.clock()):
                 self.shelter.keep(rep)
--- a/topazhold/control/reign.py
+++ b/topazhold/control/reign.py
@@ -158,20 +158,39 @@
         )
         self._harvest[records.RELAY_PREFIX] = self._harvest[records.LIVE_PREFIX]
         clock, wall = await curio.clock(), time.time()
-        jobs = [records.read_live(entry.data, entry.mark, wall, clock) for entry in live]
-        for job in jobs:
+        jobs = []
+        for entry in live:
+            # One odd record must not keep all others from being seen.
+            try:
+                job = records.read_live(entry.data, entry.mark, wall, clock)
+            except (BadMessage, ValueError, TypeError) as exc:
+                log.error("%s unreadable: %s", entry.key, exc)
+                continue
             if records.parts_of(job) > 1:
                 await self._load_parts(job)
+            jobs.append(job)
         ons, _ = await self._store.entries(records.ON_PREFIX, LEASES)
-        intents = []
+        intents: list[recovery.Intents] = []
+        unreadable: list[str] = []
         for entry in ons:
             name = entry.key[len(records.ON_PREFIX):]  # fmt: skip
-            intents.append(recovery.read_intents(name, entry.data, entry.mark))
+            try:
+                intents.append(recovery.read_intents(name, entry.data, entry.mark))
+            except (ValueError, TypeError) as exc:
+                log.error("%s unreadable: %s", entry.key, exc)
+                unreadable.append(name)
         for job_id in recovery.missing_jobs([job.id for job in jobs], intents):
             over = await self._store.get(records.over_key(job_id), LEASES)
             if over is not None:
-                jobs.append(records.read_over(over.data, wall, clock))
+                try:
+                    jobs.append(records.read_over(over.data, wall, clock))
+                except (BadMessage, ValueError, TypeError) as exc:
+                    log.error("%s unreadable: %s", over.key, exc)
         recovery.take_over(realm, jobs, intents, await curio.clock())
+        for name in unreadable:
+            # Anything may be on it: only its release proves otherwise.
+            machine = realm.add_machine(name, "", False, "", await curio.clock())
+            realm.release(machine, "its intents are unreadable", await curio.clock())
 
     async def _load_parts(self, job: Job) -> None:
         prefix = f"{records.PART_PREFIX}{job.id}/"
@@ -206,7 +225,10 @@
             return machine, []
         if (rep.flight, rep.tally) != (machine.flight, machine.tally):
             return machine, []  # a newer one was heard while this one waited
-        return machine, self.realm.answer(machine, rep, await curio.clock())
+        now = await curio.clock()
+        # Once the grant may have passed on, another may be queen: she knows of
+        # the intents, but nothing new is to begin behind her back.
+        return machine, self.realm.answer(machine, rep, now, self._assured(now))
 
     async def accepted(self, job: Job) -> None:
         if self.loaded:
@@ -269,7 +291,7 @@
         elif job is None:
             try:
                 new = records.read_live(data, mark, time.time(), await curio.clock())
-            except (BadMessage, ValueError) as exc:
+            except (BadMessage, ValueError, TypeError) as exc:
                 log.error("job %s unreadable: %s", job_id, exc)
                 return
             self.realm.add_job(new)
--- a/topazhold/control/relay.py
+++ b/topazhold/control/relay.py
@@ -20,13 +20,60 @@
 SILENT_GRANTS = 0.9
 
 
+class Adrift:
+    """Which workers a node keeps that is cut from all but its workers.
+
+    Its answers keep their tasks alive and lead nowhere else. If only this node
+    is cut, every worker is better off with another one. If its whole zone is,
+    a worker sent away finds nobody, and loses its lease on the way round.
+    Workers of other zones that report here, or one sent ahead that does not
+    come back, show which it is.
+    """
+
+    def __init__(self, zone: str, lease_s: float) -> None:
+        self._zone = zone
+        self._lease_s = lease_s
+        self._sent: dict[str, float] = {}  # workers sent ahead
+        self._way_out = False
+
+    def end(self) -> None:
+        """The node is in touch again."""
+        self._sent.clear()
+        self._way_out = False
+
+    def keeps(self, rep: Report, now: float) -> bool:
+        back = self._sent.get(rep.box)
+        if back is not None and now - back > 0.25:
+            # It went round and found nobody. It stays for another lease time.
+            self._way_out = False
+            if now - back < 2 * self._lease_s:
+                return True
+            del self._sent[rep.box]
+        elif rep.apiary != self._zone or any(
+            now - at > self._lease_s for at in self._sent.values()
+        ):
+            self._way_out = True
+        if self._way_out:
+            return False
+        idle = not rep.frames
+        if idle or not self._sent:
+            # Those with nothing to lose go first; else one for all.
+            self._sent[rep.box] = now
+            return False
+        return True
+
+
 class Shelter:
     """Decides which workers to keep here, and collects their reports."""
 
     def __init__(
-        self, leadership: Leadership, grant_s: float, lease_s: float, now: float
-    ) -> None:
+        self, leadership: Leadership, zone: str, peers: int, grant_s: float, lease_s: float,
+        now: float,
+    ) -> None:  # fmt: skip
         self._lead = leadership
+        self._zone = zone
+        self._peers = peers
+        self._adrift = Adrift(zone, lease_s)
         self._silence_s = SILENT_GRANTS * grant_s
         self._lease_s = lease_s
         self._since = now
@@ -50,6 +97,21 @@
         fresh = [peer for peer, at in self._heard.items() if now - at < 2 * self._silence_s]
         return any(self._served[peer] for peer in fresh) or (bool(self._heard) and not fresh)
 
+    def adrift(self, served: bool, now: float) -> bool:
+        """Whether this node reaches neither the state service nor any peer."""
+        quiet_s = 2 * self._silence_s
+        lost = (
+            self._peers > 0 and not served and now - self._since > quiet_s
+            and all(now - at > quiet_s for at in self._heard.values())
+        )  # fmt: skip
+        if not lost:
+            self._adrift.end()
+        return lost
+
+    def keeps_adrift(self, rep: Report, now: float) -> bool:
+        """Whether to answer a worker here although nothing comes of it."""
+        return rep.crown == self._lead.crown > 0 and self._adrift.keeps(rep, now)
+
     def queen_cut(self, now: float) -> bool:
         """Whether nothing has come from the queen for too long."""
         queen = self._lead.queen
--- a/topazhold/control/users.py
+++ b/topazhold/control/users.py
@@ -179,7 +179,7 @@
         if entry is not None:
             running = self._running(job_id)
             stage = wire.RUNNING if running else wire.PENDING
-            done = int(entry.data.get("count", 0))
+            done = records.done_count(entry.data)
             return Answer(200, wire.job_answer(job_id, stage, done, running))
         # Jobs move from live to over in one transaction, so this order
         # can't miss one.
--- a/topazhold/core/ledger.py
+++ b/topazhold/core/ledger.py
@@ -187,6 +187,7 @@
         """Whether new work may be planned there."""
         return (
             machine.state is MachineState.READY
+            and not machine.deaf
             and machine.sick_until <= now
             # Relayed reports don't count: a launch needs an answer of our own.
             and now - machine.reached_at < 2.5 * self.report_s
--- a/topazhold/core/machines.py
+++ b/topazhold/core/machines.py
@@ -37,6 +37,11 @@
         self.tally = -1
         self.crown = 0
         self.heard_at: float | None = None
+        self.answered_at = -1e9  # last report that was answered, here or by a follower
+        self.flight_at = now  # when the present session was first heard of
+        self.lost_orders = 0  # answers with launches that can be seen not to have arrived
+        self.deaf_since: float | None = None
+        self.rumour = False  # known by a report alone that may be a late copy
         self.gone_at: float | None = None  # end announced by a notice
         self.runs: dict[tuple[str, int], Run] = {}
         self.used: Room = (0.0, 0.0, 0.0)
@@ -66,8 +71,28 @@
         if self.state is MachineState.STARTING:
             self._enter(MachineState.UNSYNCED, now)
             self.idle_since = now
-        if synced and self.state is MachineState.UNSYNCED:
-            self._enter(MachineState.READY, now)
+        if synced:
+            self.rumour = False
+            if self.state is MachineState.UNSYNCED:
+                self._enter(MachineState.READY, now)
+
+    def turn_deaf(self, now: float) -> bool:
+        """Reports arrive, but answers don't reach the worker; whether that is news."""
+        if self.deaf_since is not None:
+            return False
+        self.deaf_since = now
+        return True
+
+    def hears_again(self) -> bool:
+        """The worker has acted on an answer; whether that is news."""
+        self.lost_orders = 0
+        was = self.deaf_since is not None
+        self.deaf_since = None
+        return was
+
+    @property
+    def deaf(self) -> bool:
+        return self.deaf_since is not None
 
     def drain(self, why: str, now: float) -> None:
         """Take no new work."""
--- a/topazhold/core/observing.py
+++ b/topazhold/core/observing.py
@@ -5,7 +5,7 @@
 import logging
 from collections.abc import Iterable
 
-from topazhold.core.jobs import ON_MACHINE, Job, JobState, Run, RunState
+from topazhold.core.jobs import ON_MACHINE, UNSENT, Job, JobState, Run, RunState
 from topazhold.core.machines import Machine, MachineState
 from topazhold.core.stopping import Stopping
 from topazhold.wire import messages as wire
@@ -15,6 +15,12 @@
 
 #: A job that failed on so many machines is taken to be at fault itself.
 BAD_JOB_MACHINES = 3
+#: So many answers with launches that did not arrive make a machine deaf.
+LOST_ORDERS = 2
+#: A session that ends so soon (in leases) after an answer has not heard the answer,
+#: and one that lasts so long has heard some.
+UNHEARD_LEASES = 0.7
+HEARD_LEASES = 1.3
 #: Errors of so many jobs that are not at fault make a machine sick.
 SICK_JOBS = 2
 
@@ -33,6 +39,7 @@
             if machine is None:
                 machine = self.add_machine(box.id, box.apiary, box.drones, box.breed, now)
                 machine.rented_at = now - box.age_s
+            machine.rumour = False
             if machine.endpoint is None:
                 machine.endpoint = box.endpoint
             machine.unlisted = 0
@@ -61,6 +68,9 @@
             if direct or rep.box in self._gone:
                 return None
             machine = self.add_machine(rep.box, rep.apiary, rep.drones, rep.breed, now)
+            # A late copy may tell of a machine that is long gone. Until it is
+            # listed, or reports under this crown, it is not counted on.
+            machine.rumour = True
         if machine.breed is None:
             machine.breed = self.breeds.get(rep.breed)
         if machine.state is MachineState.RELEASING:
@@ -70,12 +80,14 @@
         if rep.flight > machine.flight:
             self._new_flight(machine, rep.flight, now)
         machine.tally = rep.tally
-        machine.crown = rep.crown
         machine.endpoint = rep.endpoint
         synced = rep.crown == self.crown
         machine.hear(synced, now)
-        if not direct and not relayed:
-            machine.reached_at = now
+        self._judge_hearing(machine, rep, direct, now)
+        if not direct:
+            machine.answered_at = now
+            if not relayed:
+                machine.reached_at = now
         self._notice(machine, rep.smoke_s, now)
         self._frames(machine, rep, synced, direct, now)
         if not machine.empty:
@@ -85,14 +97,42 @@
     def _new_flight(self, machine: Machine, flight: int, now: float) -> None:
         """The worker's lease ended: all tasks of the earlier session are gone."""
         for run in list(machine.runs.values()):
-            # An intent of an earlier reign may have been ordered in this very
-            # session; only the report under this crown settles it.
-            if not run.unsure:
+            # A launch is ordered only in the session that its intent names, and
+            # the worker drops answers to reports of an earlier one. So a newer
+            # session settles an earlier reign's intents too, also those of a
+            # deaf machine, which never reports under the new crown.
+            if not run.unsure or run.flight < flight:
                 self._drop(run, now)
         machine.strays.clear()
         if machine.flight:
             log.info("machine %s began session %d", machine.name, flight)
+            if now - machine.answered_at < UNHEARD_LEASES * self.lease_s:
+                self._deafen(machine, "its lease ended though it was answered", now)
         machine.flight = flight
+        machine.flight_at = now
+
+    def _judge_hearing(self, machine: Machine, rep: Report, direct: bool, now: float) -> None:
+        """Whether answers reach the worker, as far as its reports show it."""
+        crown_before, machine.crown = machine.crown, rep.crown
+        heard = (
+            rep.crown == self.crown != crown_before
+            or now - machine.flight_at > HEARD_LEASES * self.lease_s
+        )
+        if heard and machine.hears_again():
+            log.info("machine %s hears again", machine.name)
+        elif (
+            machine.state is MachineState.UNSYNCED and not direct
+            and now - max(machine.since, self.since) > 2 * self.lease_s
+        ):  # fmt: skip
+            self._deafen(machine, "it does not take up the crown", now)
+
+    def _deafen(self, machine: Machine, why: str, now: float) -> None:
+        """Answers don't reach the worker: no new work, no hold, no limit for it."""
+        if machine.turn_deaf(now):
+            log.info("machine %s is deaf: %s", machine.name, why)
+        for run in list(machine.runs.values()):
+            if run.state in UNSENT and not run.unsure:
+                self._drop(run, now)
 
     def _notice(self, machine: Machine, smoke_s: float | None, now: float) -> None:
         if smoke_s is None:
@@ -121,9 +161,14 @@
             else:
                 self._stray(machine, key, frame, strays, now)
         machine.strays = strays
+        lost = False
         for key, run in list(machine.runs.items()):
             if key not in seen:
-                self._absent(run, rep, synced, direct, now)
+                lost |= self._absent(run, rep, synced, direct, now)
+        if lost:
+            machine.lost_orders += 1
+            if machine.lost_orders >= LOST_ORDERS:
+                self._deafen(machine, "launches don't arrive", now)
 
     def _observe(self, machine: Machine, run: Run, frame: FrameReport, now: float) -> None:
         if frame.stage == wire.ENDED:
@@ -131,6 +176,8 @@
             return
         if run.state is RunState.INTENDED:
             return
+        if run.state is RunState.ORDERED and not run.unsure:
+            machine.hears_again()
         run.observe(frame.stage, now)
         if run.state in (RunState.GATHERING, RunState.RUNNING):
             spec = run.job.spec
@@ -138,8 +185,8 @@
 
     def _absent(
         self, run: Run, rep: Report, synced: bool, direct: bool, now: float
-    ) -> None:
-        """A run that the report lacks."""
+    ) -> bool:
+        """A run that the report lacks; whether its launch can be seen to be lost."""
         if run.unsure:
             if synced:
                 self._drop(run, now)
@@ -151,8 +198,10 @@
                     self._drop(run, now)
                 else:
                     run.order_lost(now)
+                return True
         elif run.state in ON_MACHINE:
             self._drop(run, now)
+        return False
 
     def _stray(
         self, machine: Machine, key: tuple[str, int], frame: FrameReport,
--- a/topazhold/core/ordering.py
+++ b/topazhold/core/ordering.py
@@ -19,12 +19,19 @@
 class Ordering(Ledger):
     """What a worker is told."""
 
-    def answer(self, machine: Machine, rep: Report, now: float) -> list[Call]:
+    def answer(
+        self, machine: Machine, rep: Report, now: float, launches: bool = True
+    ) -> list[Call]:
         """The commands for a report's answer: clears, kills, launches, in this order."""
         calls = self._clears(machine, rep) + self.kills(machine)
-        if machine.state is MachineState.READY and rep.crown == self.crown:
+        if launches and machine.state is MachineState.READY and rep.crown == self.crown:
             for run in machine.runs.values():
-                if run.state is RunState.WRITTEN and not run.stopping:
+                # Only in the session that the intent names: a newer one then
+                # proves the task gone, also to a queen who comes later.
+                if (
+                    run.state is RunState.WRITTEN and not run.stopping
+                    and run.flight == rep.flight
+                ):  # fmt: skip
                     run.order(rep.tally, now)
                     log.info("launch %s try %d on %s", run.frame, run.attempt, machine.name)
                     calls.append(wire.launch(run.frame, run.attempt))
--- a/topazhold/core/placing.py
+++ b/topazhold/core/placing.py
@@ -241,6 +241,8 @@
                 return f"{name} is not known"
             if machine.state in (MachineState.DRAINING, MachineState.RELEASING):
                 return f"{name} is leaving"
+            if machine.deaf:
+                return f"{name} is deaf"
             if not allowed(spec, machine.breed.label, machine.zone, machine.spot):
                 return f"{name} is not allowed"
             if times_fits(job.need, machine.total, count) < count:
--- a/topazhold/core/records.py
+++ b/topazhold/core/records.py
@@ -75,6 +75,8 @@
 
 def read_over(data: Any, now: float, clock: float) -> Job:
     """A job that is over, for tasks that may still be on machines."""
+    if not isinstance(data, dict):
+        raise BadMessage("not a job that is over")
     spec = convert(data.get("spec"), JobSpec)
     at = float(data.get("at", now))
     job = Job(spec, clock, at, "")
@@ -85,8 +87,15 @@
     return job
 
 
+def done_count(data: Any) -> int:
+    """Tasks done, for display; a record that can't be read still is an accepted job."""
+    count = data.get("count", 0) if isinstance(data, dict) else 0
+    return count if isinstance(count, int) else 0
+
+
 def over_stage(data: Any) -> str:
-    return wire.DONE if data.get("stage") == wire.DONE else wire.ABORTED
+    done = isinstance(data, dict) and data.get("stage") == wire.DONE
+    return wire.DONE if done else wire.ABORTED
 
 
 def on_value(flight: int, runs: list[Run], zone: str, spot: bool, breed: str, token: str) -> Any:
--- a/topazhold/core/recovery.py
+++ b/topazhold/core/recovery.py
@@ -10,7 +10,7 @@
 
 from topazhold.core import gangs, records
 from topazhold.core.jobs import Job, JobState, Run
-from topazhold.core.machines import MachineState
+from topazhold.core.machines import Machine, MachineState
 from topazhold.core.realm import Realm
 
 Intents = tuple[str, int, int, list[tuple[str, int, int]], tuple[str, bool, str]]
@@ -41,14 +41,16 @@
             machine.hear(False, now)
             machine.heard_at = None
         for job_id, index, attempt in runs:
-            _adopt(realm, job_id, index, attempt, name, now)
+            _adopt(realm, job_id, index, attempt, machine, now)
     for job in list(realm.jobs.values()):
         if job.gang and job.state is JobState.LIVE:
             gangs.resume(job, now)
         realm.forget_if_over(job)
 
 
-def _adopt(realm: Realm, job_id: str, index: int, attempt: int, machine: str, now: float) -> None:
+def _adopt(
+    realm: Realm, job_id: str, index: int, attempt: int, machine: Machine, now: float
+) -> None:
     job = realm.jobs.get(job_id)
     if job is None or index >= job.spec.frames or job.done[index]:
         return
@@ -60,4 +62,6 @@
         if old.attempt >= attempt:
             return
         realm.supersede(old, now)
-    realm.adopt(Run(job, index, attempt, machine, now))
+    run = Run(job, index, attempt, machine.name, now)
+    run.flight = machine.flight
+    realm.adopt(run)
--- a/topazhold/core/renting.py
+++ b/topazhold/core/renting.py
@@ -163,6 +163,8 @@
 
 def counted(machine: Machine) -> bool:
     """Whether a machine counts as capacity, now or soon."""
+    if machine.deaf or machine.rumour:
+        return False
     return machine.state in (MachineState.STARTING, MachineState.UNSYNCED, MachineState.READY)
 
 
--- a/topazhold/core/stopping.py
+++ b/topazhold/core/stopping.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Callable
 
 from topazhold.core import gangs
 from topazhold.core.jobs import UNSENT, GangState, Job, JobState, Run, RunState
@@ -12,6 +13,9 @@
 
 log = logging.getLogger(__name__)
 
+#: A lone deaf machine is released after so many leases.
+DEAF_LEASES = 2.0
+
 
 class Stopping(Ordering):
     """Who has to leave, and when a machine has to go."""
@@ -156,6 +160,11 @@
         if self.needs_herald(machine, now) and now - machine.heralded_at > self.report_s:
             machine.heralded_at = now
             self.strikes.add(machine.name)
+        deaf_since = machine.deaf_since
+        if deaf_since is not None and now - deaf_since > DEAF_LEASES * self.lease_s:
+            if not self._mass(machine.zone, lambda other: other.deaf):
+                self.release(machine, "deaf", now)
+                return
         silent = self.silent_s(machine, now)
         if silent > self.lease_s and machine.unlisted >= 2:
             self.release(machine, "silent and not listed", now)
@@ -164,12 +173,15 @@
 
     def _mass_silence(self, zone: str, now: float) -> bool:
         """Many machines of a zone silent at once: a cut, which proves nothing."""
-        count = silent = 0
-        for machine in self.machines.values():
-            if machine.zone == zone and machine.state in UP:
-                count += 1
-                silent += self.silent_s(machine, now) > 0.6 * self.lease_s
-        return silent > 2 and silent > 0.4 * count
+        return self._mass(
+            zone, lambda machine: self.silent_s(machine, now) > 0.6 * self.lease_s
+        )
+
+    def _mass(self, zone: str, trouble: Callable[[Machine], bool]) -> bool:
+        """Whether many machines of a zone share a trouble: then it is the way to them."""
+        up = [m for m in self.machines.values() if m.zone == zone and m.state in UP]
+        count = sum(trouble(machine) for machine in up)
+        return count > 2 and count > 0.4 * len(up)
 
     def _drain(self, machine: Machine, now: float) -> None:
         # A launch that has not left won't leave any more: a task left waiting
--- a/topazhold/settings.py
+++ b/topazhold/settings.py
@@ -74,6 +74,7 @@
     """What the platform hands over, as far as it is used; the rest is ignored."""
 
     node_name: str
+    domain: str
     bind: str
     peer_listen: str
     outside: Outside
