Largest gangs get their turn, and intents of several machines share a value

A gang that has waited long now counts as within its guarantee and goes before those that came later; caches are as long as alpha times the largest gang and name machines that fit its tasks; peers get them uncut. Cause 2 (writes counted by key): 3161 of 5567 changes were intents, one value per machine, and 246 plans met the limit of 20 a second. Up to 16 machines of a zone now share a value, and a plan waits until it can be written.

Ruled out: too few machines (1000 of 1320 cards in use).

--- a/topazhold/control/booking.py
+++ b/topazhold/control/booking.py
@@ -11,7 +11,7 @@
 import curio
 
 from topazhold.control.store import DECISIONS, TROUBLE, Conflict, Store
-from topazhold.core.holds import HOLD_PREFIX, Hold, HoldBook, pack_value
+from topazhold.core.holds import HOLD_PREFIX, Hold, HoldBook, Turn, pack_value
 from topazhold.core.search import Group, Offer, SearchRules, score_held, search, unpack_offer
 from topazhold.settings import Operator, Settings
 from topazhold.wire import messages as wire
@@ -31,13 +31,20 @@
 class Wanted:
     """A gang that this controller searches for."""
 
-    __slots__ = ("spec", "rank", "since")
+    __slots__ = ("spec", "rank", "submitted", "since")
 
-    def __init__(self, spec: JobSpec, rank: tuple[int, int], since: float) -> None:
+    def __init__(
+        self, spec: JobSpec, rank: tuple[int, int], submitted: float, since: float
+    ) -> None:
         self.spec = spec
         self.rank = rank
+        self.submitted = submitted  # time of day
         self.since = since
 
+    @property
+    def turn(self) -> Turn:
+        return (*self.rank, self.submitted)
+
 
 class View:
     """The fleet as the summaries show it."""
@@ -47,7 +54,7 @@
         self.crown = 0
         self.directory: list[tuple[str, str]] = []
         self.caches: dict[str, Sequence[Offer]] = {}
-        self.waiting: dict[str, tuple[str, tuple[int, int], bool]] = {}
+        self.waiting: dict[str, tuple[str, Turn, bool]] = {}
         self.running: dict[str, int] = {}
 
     def read_zone(self, zone: str, data: Any) -> None:
@@ -64,8 +71,8 @@
     def read_jobs(self, data: Any) -> None:
         self.crown = int(data.get("crown", 0))
         self.waiting = {
-            str(job): (str(node), (int(outside), int(level)), bool(wants))
-            for job, node, outside, level, wants in data.get("waiting", ())
+            str(job): (str(node), (int(outside), int(level), float(submitted)), bool(wants))
+            for job, node, outside, level, submitted, wants in data.get("waiting", ())
         }
         self.running = {str(job): int(count) for job, count in data.get("running", {}).items()}
 
@@ -99,9 +106,10 @@
         self.wrote_at = -1e9
         self.wake = curio.Event()
 
-    async def accepted(self, spec: JobSpec, now: float) -> None:
+    async def accepted(self, spec: JobSpec, submitted: float, now: float) -> None:
         """This node has accepted a gang: search for it now."""
-        self.wanted[spec.id] = Wanted(spec, (1, wire.URGENCIES.index(spec.urgency)), now)
+        rank = (1, wire.URGENCIES.index(spec.urgency))
+        self.wanted[spec.id] = Wanted(spec, rank, submitted, now)
         await self.wake.set()
 
     def forget(self, job: str) -> None:
@@ -114,7 +122,7 @@
         self._written = None
 
     def _search(self, wanted: Wanted, view: View, draft: HoldBook) -> Group | None:
-        taken = draft.taken(wanted.spec.id, wanted.rank, lambda hold: True)
+        taken = draft.taken(wanted.spec.id, wanted.turn, lambda hold: True)
         return search(
             self._rng, view.directory, view.caches, wanted.spec, wanted.rank, taken,
             self.rules, self._tries,
@@ -131,7 +139,7 @@
         draft = HoldBook(self.node)
         draft.holds = {**self.book.holds, self.node: self.mine}
         order = sorted(
-            self.wanted.values(), key=lambda w: (w.spec.id in self.mine, w.rank, w.since)
+            self.wanted.values(), key=lambda w: (w.spec.id in self.mine, w.turn)
         )
         for wanted in order[:MOST_SEARCHED]:
             job = wanted.spec.id
@@ -148,7 +156,7 @@
                 # Estimates are often wrong: the held group is judged by what is
                 # known now, not by what was hoped when it was booked. Else a
                 # hold on machines that free late is kept until it lapses.
-                taken = draft.taken(job, wanted.rank, lambda hold: True)
+                taken = draft.taken(job, wanted.turn, lambda hold: True)
                 present = score_held(
                     old.slots, view.caches, wanted.spec, wanted.rank, taken, self.rules
                 )
@@ -161,7 +169,7 @@
         self._serial = max(self._serial + 1, int(wall * 1000))
         self.mine[spec.id] = Hold(
             spec.id, group.slots, (spec.vcpus, spec.cards, spec.ram_gb), group.score,
-            self._serial, wall, group.room_wait <= self._report_s, wanted.rank,
+            self._serial, wall, group.room_wait <= self._report_s, wanted.turn,
         )  # fmt: skip
         log.info(
             "hold %s on %s, wait %.1f s, score %.1f",
@@ -197,8 +205,8 @@
         return True
 
     def _cut_to_size(self) -> None:
-        """The value has a limit: holds of the last ranks give way."""
-        order = sorted(self.mine.values(), key=lambda hold: (hold.rank, hold.made))
+        """The value has a limit: holds whose turn comes last give way."""
+        order = sorted(self.mine.values(), key=lambda hold: (hold.turn, hold.made))
         size = 200
         for hold in order:
             size += json_size(hold.pack()) + 1
--- a/topazhold/control/node.py
+++ b/topazhold/control/node.py
@@ -108,7 +108,7 @@
         else:
             # The shares add up to more than the whole: the nodes are seldom
             # busy at once, and what is too much the service itself refuses.
-            self.store.set_share(0.75 if reigning else max(0.4, 1.0 / nodes))
+            self.store.set_share(0.85 if reigning else max(0.35, 1.0 / nodes))
 
     async def run(self) -> None:
         """Serve until killed."""
@@ -208,7 +208,7 @@
         if self.reign is not None:
             await self.reign.accepted(job)
         if job.gang:
-            await self.booking.accepted(job.spec, await curio.clock())
+            await self.booking.accepted(job.spec, job.submitted, await curio.clock())
 
     def _running_count(self, job_id: str) -> int:
         if self.reign is not None and self.reign.loaded:
@@ -533,7 +533,7 @@
                 if job.id not in self.booking.mine:
                     self.booking.forget(job.id)
                     continue
-            wanted[job.id] = Wanted(job.spec, rank(job), job.arrived)
+            wanted[job.id] = Wanted(job.spec, rank(job), job.submitted, job.arrived)
             hold = self.booking.mine.get(job.id)
             if hold is not None and reign.realm.spent(job, hold):
                 del self.booking.mine[job.id]
@@ -550,16 +550,16 @@
                 if self.view.at - wanted.since > 2 * PEER_SUMMARY_S:
                     booking.forget(job_id)
             else:
-                wanted.rank = told[1]
+                wanted.rank, wanted.submitted = told[1][:2], told[1][2]
                 if told[2]:
                     hold = booking.mine.get(job_id)
                     if hold is not None and time.time() - hold.made > self.operator.summary_s:
                         del booking.mine[job_id]  # refused, or used up
-        for job_id, (node, job_rank, _) in waiting.items():
+        for job_id, (node, turn, _) in waiting.items():
             if node == self.name and job_id not in booking.wanted:
                 spec = await self._read_spec(job_id)
                 if spec is not None:
-                    booking.wanted[job_id] = Wanted(spec, job_rank, now)
+                    booking.wanted[job_id] = Wanted(spec, turn[:2], turn[2], now)
 
     async def _read_spec(self, job_id: str) -> JobSpec | None:
         entry = await self.store.get(records.live_key(job_id), DECISIONS)
--- a/topazhold/control/reign.py
+++ b/topazhold/control/reign.py
@@ -30,7 +30,8 @@
 from topazhold.core.preemption import rank
 from topazhold.core.realm import Realm
 from topazhold.core.renting import Ask
-from topazhold.core.search import pack_summary
+from topazhold.core.search import cut_summary
+from topazhold.core.shelves import Shelf, Shelves
 from topazhold.io.http import Client, NoAnswer, NotSent
 from topazhold.settings import Operator, Settings, address
 from topazhold.wire import messages as wire
@@ -44,10 +45,16 @@
 #: Shortest times between looks at the clocks of all, and between plans.
 TICK_REPORTS = 0.1
 PLAN_REPORTS = 0.03
+#: Changes that a plan costs at the least, about.
+PLAN_WRITES = 2
 #: Time left to others after deciding, as a multiple of what it took.
 DECIDING_PAUSE = 3.0
 #: Waiting gangs and running counts told in the summary.
 MOST_TOLD = 60
+#: What values may take of a transaction, whose limit is 64 KiB in all.
+TXN_BYTES = 48 * 1024
+#: Machines of a zone named in its summary, for pivots.
+MOST_NAMED = 40
 #: Direct commands under way at once.
 MOST_STRIKES = 16
 
@@ -89,6 +96,7 @@
         self._round = curio.Event()  # set, and replaced, at the end of a planning round
         self._sequence = 0
         self._asks = 0
+        self._shelves = Shelves(self._value_limit)
         self._striking: set[str] = set()
         self._directs: dict[str, Client] = {}
         self._harvest: dict[str, int] = {}
@@ -170,15 +178,17 @@
                 await self._load_parts(job)
             jobs.append(job)
         ons, _ = await self._store.entries(records.ON_PREFIX, LEASES)
-        intents: list[recovery.Intents] = []
+        # A take-over that was interrupted is begun anew, this with it: two shelves
+        # of one name would overwrite each other's intents.
+        self._shelves = Shelves(self._value_limit)
+        intents: list[records.Intents] = []
         unreadable: list[str] = []
         for entry in ons:
-            name = entry.key[len(records.ON_PREFIX):]  # fmt: skip
-            try:
-                intents.append(recovery.read_intents(name, entry.data, entry.mark))
-            except (ValueError, TypeError) as exc:
-                log.error("%s unreadable: %s", entry.key, exc)
-                unreadable.append(name)
+            found, odd = records.read_on(entry.data)
+            intents += found
+            unreadable += odd
+            names = [each.machine for each in found]
+            self._shelves.found(entry.key[len(records.ON_PREFIX):], entry.mark, names)
         for job_id in recovery.missing_jobs([job.id for job in jobs], intents):
             over = await self._store.get(records.over_key(job_id), LEASES)
             if over is not None:
@@ -336,6 +346,9 @@
             self._wake.clear()
             busy = 0.0  # time spent on deciding, waits for the state service left out
             for _ in range(4):
+                # A plan that can't be written now is made anew later, with more
+                # of it in one transaction.
+                await self._store.turn(DECISIONS, PLAN_WRITES)
                 now = await curio.clock()
                 if now - ticked_at > TICK_REPORTS * self._report_s:
                     ticked_at = now
@@ -353,30 +366,33 @@
 
     async def _write_intents(self, runs: list[Run]) -> None:
         """Commit the intents of a plan, a few machines at a time, before any launch."""
-        by_machine: dict[str, list[Run]] = {}
+        machines = self.realm.machines
+        by_shelf: dict[str, list[Run]] = {}
         for run in runs:
-            by_machine.setdefault(run.machine, []).append(run)
-        names = list(by_machine)
-        for start in range(0, len(names), self._txn_ops):
-            part = names[start: start + self._txn_ops]
-            batch = [run for name in part for run in by_machine[name]]
-            await self._write_batch(part, batch)
-
-    async def _write_batch(self, names: list[str], batch: list[Run]) -> None:
+            machine = machines.get(run.machine)
+            if machine is not None:
+                by_shelf.setdefault(self._shelves.of(machine, machines).name, []).append(run)
+        names = list(by_shelf)
+        most = max(1, min(self._txn_ops // 2, int(TXN_BYTES // self._value_limit)))
+        for start in range(0, len(names), most):
+            batch = [run for name in names[start: start + most] for run in by_shelf[name]]
+            await self._write_batch(batch)
+
+    async def _write_batch(self, batch: list[Run]) -> None:
         realm = self.realm
         token = self.token()
         guards = self._guards()
         then = []
-        for name in names:
-            machine = realm.machines.get(name)
-            if machine is None or machine.breed is None:
-                realm.intents_failed(batch, await curio.clock())
-                return
-            guards.append((records.on_key(name), machine.on_mark))
-            value = records.on_value(
-                machine.flight, list(machine.runs.values()), machine.zone, machine.spot,
-                machine.breed.label, token,
-            )  # fmt: skip
+        shelves = {
+            self._shelves.of(realm.machines[run.machine], realm.machines)
+            for run in batch if run.machine in realm.machines
+        }  # fmt: skip
+        values = self._shelves.values(shelves, realm.machines, token)
+        if not values:
+            realm.intents_failed(batch, await curio.clock())
+            return
+        for name, (mark, value) in values.items():
+            guards.append((records.on_key(name), mark))
             then.append(wire.put(records.on_key(name), value))
         for job in {run.job.id: run.job for run in batch}.values():
             # A job that was cancelled or finished in between launches nothing.
@@ -385,11 +401,12 @@
         while True:
             try:
                 mark = await self._store.commit(
-                    guards, then, DECISIONS, records.on_key(names[0]), token,
+                    guards, then, DECISIONS, records.on_key(next(iter(values))), token,
                     give_up_s=self._block_s,
                 )
                 break
             except Conflict as exc:
+                log.debug("intents not written, changed: %s", exc)
                 realm.intents_failed(batch, await curio.clock())
                 await self._repair(exc.keys)
                 return
@@ -401,10 +418,8 @@
             except (StoreUnknown, BadMessage):
                 # Still open: nothing else may be planned for these tasks.
                 continue
-        for name in names:
-            machine = realm.machines.get(name)
-            if machine is not None:
-                machine.on_mark = mark
+        for name in values:
+            self._shelves.marked(name, mark)
         realm.intents_written(batch, await curio.clock())
 
     async def _repair(self, keys: list[str]) -> None:
@@ -417,9 +432,8 @@
                     await self._reread_job(key[len(records.LIVE_PREFIX):])
                 elif key.startswith(records.ON_PREFIX):
                     entry = await self._store.get(key, DECISIONS)
-                    machine = self.realm.machines.get(key[len(records.ON_PREFIX):])
-                    if machine is not None:
-                        machine.on_mark = entry.mark if entry is not None else 0
+                    mark = entry.mark if entry is not None else 0
+                    self._shelves.marked(key[len(records.ON_PREFIX):], mark)
             except TROUBLE as exc:
                 log.debug("repair of %s: %s", key, exc)
 
@@ -611,13 +625,14 @@
                 log.debug("release: %s", exc)
                 continue
             now = await curio.clock()
+            stale: set[Shelf] = set()
             for name in names:
-                machine = self.realm.machines.get(name)
-                mark = machine.on_mark if machine is not None else 0
                 self.realm.machine_gone(name, now)
-                if mark:
-                    await self._drop_intents(name, mark)
+                shelf = self._shelves.gone(name)
+                if shelf is not None and shelf.mark:
+                    stale.add(shelf)
             await self._wake.set()
+            await self._tidy(stale)
 
     def _to_release(self, now: float) -> list[str]:
         """Names to release now.
@@ -630,13 +645,20 @@
             names = [name for name in names if self.realm.must_go(name)]
         return names[:MOST_RELEASED]
 
-    async def _drop_intents(self, name: str, mark: int) -> None:
-        """Tidy up; a new queen would find the machine gone by herself."""
-        key = records.on_key(name)
-        try:
-            await self._store.multi([*self._guards(), (key, mark)], [wire.drop(key)], DECISIONS)
-        except (*TROUBLE, Conflict) as exc:
-            log.debug("intents of %s stay: %s", name, exc)
+    async def _tidy(self, shelves: set[Shelf]) -> None:
+        """Intents of machines that are gone; a new queen would find that out by herself."""
+        values = self._shelves.values(shelves, self.realm.machines, self.token())
+        for name, (mark, value) in values.items():
+            key = records.on_key(name)
+            change = wire.put(key, value) if value["boxes"] else wire.drop(key)
+            try:
+                done = await self._store.multi(
+                    [*self._guards(), (key, mark)], [change], DECISIONS
+                )
+            except (*TROUBLE, Conflict) as exc:
+                log.debug("intents on %s stay: %s", name, exc)
+            else:
+                self._shelves.marked(name, done if value["boxes"] else 0)
 
     # -- summaries --------------------------------------------------------------------
 
@@ -646,19 +668,22 @@
         view.at = now
         view.crown = self.crown
         view.directory = self.realm.directory()
-        view.caches = {zone: self.realm.offers(zone, now) for zone in self._zones}
+        largest = self.realm.largest_gang(now)
+        view.caches = {zone: self.realm.offers(zone, now, largest) for zone in self._zones}
         return view
 
     def summary(self, now: float) -> dict[str, Any]:
         """What the other controllers are told: a value per zone, one for jobs."""
         realm = self.realm
         values: dict[str, Any] = {}
+        largest = realm.largest_gang(now)
+        directory = realm.directory()
         for zone in self._zones:
-            cache = pack_summary(realm.offers(zone, now), self._value_limit - 1024, json_size)
-            names = [name for name, of_zone in realm.directory() if of_zone == zone]
-            values[zone] = {"cache": cache, "all": names[:40]}
+            cache = [offer.pack() for offer in realm.offers(zone, now, largest)]
+            names = [name for name, of_zone in directory if of_zone == zone]
+            values[zone] = {"cache": cache, "all": names[:MOST_NAMED]}
         waiting = [
-            [job.id, job.node, *rank(job), realm.needs_hold(job)]
+            [job.id, job.node, *rank(job), round(job.submitted, 1), realm.needs_hold(job)]
             for job in realm.waiting_gangs(now)[:MOST_TOLD]
         ]
         running: dict[str, int] = {}
@@ -679,10 +704,12 @@
             await self._tell(("summary", self.crown, values))
             if now - written_at >= self._operator.summary_s:
                 written_at = now
-                then = [
-                    wire.put(records.SUMMARY_PREFIX + (zone or "*"), value)
-                    for zone, value in values.items()
-                ]
+                limit = self._value_limit - 1024
+                then = [wire.put(records.SUMMARY_PREFIX + "*", values[""])]
+                for zone in self._zones:
+                    cache = cut_summary(values[zone]["cache"], limit, json_size)
+                    value = {**values[zone], "cache": cache}
+                    then.append(wire.put(records.SUMMARY_PREFIX + zone, value))
                 try:
                     await self._store.multi(self._guards(), then, DECISIONS)
                 except Conflict as exc:
--- a/topazhold/control/store.py
+++ b/topazhold/control/store.py
@@ -65,6 +65,10 @@
         self._reads.set_rate(self._rps * share)
         self._writes.set_rate(self._write_rps * share)
 
+    async def turn(self, rank: float, writes: int) -> None:
+        """Let time pass until the limits allow a request, within bounds."""
+        await curio.sleep(min(PATIENCE_S, await self.wait_s(rank, writes)))
+
     async def wait_s(self, rank: float, writes: int) -> float:
         """How long until the limits allow a request."""
         now = await curio.clock()
--- a/topazhold/core/holds.py
+++ b/topazhold/core/holds.py
@@ -14,15 +14,18 @@
 
 HOLD_PREFIX = "hold/"
 
+#: Whose turn it is: outside its guarantee, urgency, time of submission; smaller goes first.
+Turn = tuple[int, int, float]
+
 
 class Hold:
     """Room for all tasks of one gang: machines with a number of tasks each."""
 
-    __slots__ = ("job", "slots", "need", "score", "serial", "made", "free_now", "rank")
+    __slots__ = ("job", "slots", "need", "score", "serial", "made", "free_now", "turn")
 
     def __init__(
         self, job: str, slots: dict[str, int], need: Room, score: float, serial: int,
-        made: float, free_now: bool, rank: tuple[int, int],
+        made: float, free_now: bool, turn: Turn,
     ) -> None:  # fmt: skip
         self.job = job
         self.slots = slots
@@ -31,24 +34,24 @@
         self.serial = serial  # told apart from an earlier, used hold of the job
         self.made = made  # time of day
         self.free_now = free_now
-        self.rank = rank  # (outside guarantee, urgency): smaller goes first
+        self.turn = turn
 
     def pack(self) -> list[Any]:
         slots = [[machine, count] for machine, count in sorted(self.slots.items())]
         return [
             self.job, slots, list(self.need), round(self.score, 2), self.serial,
-            round(self.made, 1), self.free_now, list(self.rank),
+            round(self.made, 1), self.free_now, list(self.turn),
         ]  # fmt: skip
 
 
 def unpack(data: Any) -> Hold:
     """Read a hold; ValueError if it is none."""
     try:
-        job, slots, need, score, serial, made, free_now, rank = data
+        job, slots, need, score, serial, made, free_now, turn = data
         return Hold(
             str(job), {str(name): int(count) for name, count in slots},
             (float(need[0]), float(need[1]), float(need[2])), float(score), int(serial),
-            float(made), bool(free_now), (int(rank[0]), int(rank[1])),
+            float(made), bool(free_now), (int(turn[0]), int(turn[1]), float(turn[2])),
         )  # fmt: skip
     except (TypeError, IndexError) as exc:
         raise ValueError(f"not a hold: {exc}") from None
@@ -109,16 +112,17 @@
             yield from part.values()
 
     def taken(
-        self, skip_job: str, rank: tuple[int, int], binding: Callable[[Hold], bool]
+        self, skip_job: str, turn: Turn, binding: Callable[[Hold], bool]
     ) -> dict[str, Room]:
-        """Held room per machine that a job of this rank must leave alone.
+        """Held room per machine that a job must leave alone when its turn has come.
 
-        Only holds of the same or a better rank bind. Without that exception a
-        swarm of guest gangs that books far ahead starves work that goes first.
+        Only holds of those whose turn comes before bind. Without that exception a
+        swarm of guest gangs that books far ahead starves work that goes first,
+        and a stream of small gangs starves a large one that came before them.
         """
         rooms: dict[str, Room] = {}
         for hold in self.all():
-            if hold.job == skip_job or hold.rank > rank or not binding(hold):
+            if hold.job == skip_job or hold.turn > turn or not binding(hold):
                 continue
             add_hold(rooms, hold)
         return rooms
@@ -131,36 +135,36 @@
 
 
 class HeldRooms:
-    """What binding holds keep, added up once per rank for a round of planning."""
-
-    def __init__(self, book: HoldBook, binding: Callable[[Hold], bool]) -> None:
-        self._holds = [hold for hold in book.all() if binding(hold)]
+    """What holds keep, added up as the turns of a round of planning go by."""
+
+    def __init__(self, book: HoldBook, turn_of: Callable[[Hold], Turn | None]) -> None:
+        """`turn_of` gives the present turn of a hold's job; None if it binds nobody."""
+        turns = [(turn_of(hold), hold) for hold in book.all()]
+        self._waiting = sorted(
+            ((turn, hold.serial, hold) for turn, hold in turns if turn is not None),
+            key=lambda item: item[:2], reverse=True,
+        )  # fmt: skip
+        self._rooms: dict[str, Room] = {}
         self._own: dict[str, list[Hold]] = {}
-        for hold in self._holds:
-            self._own.setdefault(hold.job, []).append(hold)
-        self._sums: dict[tuple[int, int], dict[str, Room]] = {}
 
     def release(self, job: str) -> None:
         """The job begins: its holds keep nothing any more."""
         for hold in self._own.pop(job, ()):
-            self._holds.remove(hold)
-            for rank, rooms in self._sums.items():
-                if hold.rank <= rank:
-                    add_hold(rooms, hold, -1)
-
-    def taken(self, skip_job: str, rank: tuple[int, int]) -> Mapping[str, Room]:
-        """As `HoldBook.taken`."""
-        rooms = self._sums.get(rank)
-        if rooms is None:
-            rooms = self._sums[rank] = {}
-            for hold in self._holds:
-                if hold.rank <= rank:
-                    add_hold(rooms, hold)
-        own = [hold for hold in self._own.get(skip_job, ()) if hold.rank <= rank]
-        if own:
-            rooms = dict(rooms)
-            for hold in own:
-                add_hold(rooms, hold, -1)
+            add_hold(self._rooms, hold, -1)
+        self._waiting = [item for item in self._waiting if item[2].job != job]
+
+    def taken(self, skip_job: str, turn: Turn) -> Mapping[str, Room]:
+        """As `HoldBook.taken`; turns must come in order."""
+        while self._waiting and self._waiting[-1][0] <= turn:
+            _, _, hold = self._waiting.pop()
+            self._own.setdefault(hold.job, []).append(hold)
+            add_hold(self._rooms, hold)
+        own = self._own.get(skip_job)
+        if not own:
+            return self._rooms
+        rooms = dict(self._rooms)
+        for hold in own:
+            add_hold(rooms, hold, -1)
         return rooms
 
 
--- a/topazhold/core/jobs.py
+++ b/topazhold/core/jobs.py
@@ -158,6 +158,7 @@
         self.need: Room = (spec.vcpus, spec.cards, spec.ram_gb)
         self.level = wire.URGENCIES.index(spec.urgency)
         self.within = False
+        self.pressing = False  # a gang that has waited long
         self.runs: dict[int, Run] = {}
         self.done = bytearray(spec.frames)
         self.done_count = 0
--- a/topazhold/core/ledger.py
+++ b/topazhold/core/ledger.py
@@ -21,6 +21,9 @@
 
 #: Attempts are numbered within a reign, so no number is ever used twice.
 ATTEMPTS_PER_REIGN = 1 << 24
+#: A gang is pressing once it has waited for this share of its class's shortest
+#: aim for a start, or of the longest wait that the operators allow.
+PRESSING_SHARE = 0.3
 #: Gone machines, and jobs that are over, kept against late news of them.
 MOST_REMEMBERED = 4000
 
@@ -44,6 +47,7 @@
         workers = cluster.workers
         self.crown = crown
         self.since = now
+        self.alpha = operator.alpha
         self.report_s = workers.report_s
         self.lease_s = workers.lease_s
         self.cancel_s = workers.cancel_s
@@ -56,7 +60,6 @@
         self.most_machine_runs = max(
             1, int(cluster.state.value_kb * 1024 - 512) // records.RUN_BYTES
         )
-        self.most_planned_machines = cluster.state.txn_ops
         self.book = book
         self.rng = rng
         self.jobs: dict[str, Job] = {}
@@ -80,11 +83,17 @@
         self._starved_since: dict[str, float] = {}
         self._wanting_since: dict[str, float] = {}
         self._claims: dict[str, tuple[float, float]] = {}
+        self.longest_wait_s = operator.longest_wait_s
+        self.patience_s: dict[str, float] = {}
+        for aim in cluster.objectives:
+            if aim.kind == "wait" and aim.lane is not None and aim.within_s is not None:
+                patience = min(PRESSING_SHARE * aim.within_s, PRESSING_SHARE * self.longest_wait_s)
+                self.patience_s[aim.lane] = min(patience, self.patience_s.get(aim.lane, patience))
         self.quick_lanes = {aim.lane for aim in cluster.objectives if aim.kind == "wait"}
         self.reserve_share = operator.reserve_share
         self._free_plain = 0.0
         # Of the round of planning that is under way:
-        self._held = HeldRooms(book, lambda hold: False)
+        self._held = HeldRooms(book, lambda hold: None)
         self._roomy: list[Machine] = []
         self._lower: LowerWork | None = None
 
--- a/topazhold/core/machines.py
+++ b/topazhold/core/machines.py
@@ -49,7 +49,6 @@
         self.images: OrderedDict[str, float] = OrderedDict()
         self.error_jobs: set[str] = set()
         self.sick_until = 0.0
-        self.on_mark = 0
         self.idle_since = now
         self.unlisted = 0  # lists in a row, asked for after it fell silent, without it
         self.why = ""
--- a/topazhold/core/placing.py
+++ b/topazhold/core/placing.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable, Mapping
 
 from topazhold.core import gangs, preemption
-from topazhold.core.holds import HeldRooms, Hold
+from topazhold.core.holds import HeldRooms, Hold, Turn
 from topazhold.core.jobs import GangState, Job, JobState, Room, Run, RunState
 from topazhold.core.ledger import NO_ROOM, LowerWork
 from topazhold.core.machines import Machine, MachineState, fits, plus, times_fits
@@ -46,7 +46,6 @@
             return []
         self._survey(jobs, now)
         planned: list[Run] = []
-        touched: set[str] = set()
         # What gangs whose machines are free are to have of their teams' limits.
         # Without it a team's arrays take up its limit task by task, and a gang
         # that needs more at once waits until they are all done.
@@ -56,15 +55,15 @@
             if len(planned) >= MOST_PLANNED:
                 break
             if job.gang:
-                self._plan_gang(job, planned, touched, now)
+                self._plan_gang(job, planned, now)
             else:
-                self._plan_array(job, planned, touched, now)
+                self._plan_array(job, planned, now)
         return planned
 
     def _survey(self, jobs: list[Job], now: float) -> None:
         """What a round of planning needs to know of the whole fleet."""
         self._lower = None
-        self._held = HeldRooms(self.book, self._binding)
+        self._held = HeldRooms(self.book, self._turn_of)
         least = (
             min(job.need[0] for job in jobs),
             min(job.need[1] for job in jobs),
@@ -143,9 +142,17 @@
             if job.state is JobState.LIVE and job.waiting_count > 0 and job.not_before <= now
             and not (job.gang and job.gang_state is not GangState.WAITING)
         ]  # fmt: skip
-        jobs.sort(key=lambda job: (preemption.rank(job), self._due(job), job.id))
+        jobs.sort(key=lambda job: (self.turn(job), job.id))
         return jobs
 
+    def turn(self, job: Job) -> Turn:
+        """The order in which waiting jobs are planned, and in which their holds bind."""
+        return (*preemption.rank(job), self._due(job))
+
+    def _turn_of(self, hold: Hold) -> Turn | None:
+        """By what is known now: the hold itself names the turn of when it was made."""
+        return self.turn(self.jobs[hold.job]) if self._binding(hold) else None
+
     def _due(self, job: Job) -> float:
         """When the job should have begun: deadlines by slack, others by arrival."""
         spec = job.spec
@@ -164,13 +171,12 @@
         self.next_attempt += 1
         return self.next_attempt
 
-    def _may_touch(self, machine: Machine, touched: set[str], count: int) -> bool:
-        if machine.name not in touched and len(touched) >= self.most_planned_machines:
-            return False
+    def _recordable(self, machine: Machine, count: int) -> bool:
+        """Whether the machine's intents still fit a value with so many more tasks."""
         return len(machine.runs) + count <= self.most_machine_runs
 
     def _plan_gang(
-        self, job: Job, planned: list[Run], touched: set[str], now: float
+        self, job: Job, planned: list[Run], now: float
     ) -> None:
         hold = self.book.of_job(job.id)
         if hold is None or self.spent(job, hold):
@@ -182,7 +188,7 @@
             return
         if not self._limit_reachable(job):
             return
-        taken = self._held.taken(job.id, preemption.rank(job))
+        taken = self._held.taken(job.id, self.turn(job))
         short: list[tuple[Machine, Room]] = []
         for name, count in hold.slots.items():
             machine = self.machines[name]
@@ -199,14 +205,12 @@
                 self._make_limit(job, now)
             self._claim(job)
             return
-        if not all(self._may_touch(self.machines[n], touched, c) for n, c in hold.slots.items()):
-            if len(hold.slots) <= self.most_planned_machines or touched:
-                return
+        if not all(self._recordable(self.machines[n], c) for n, c in hold.slots.items()):
+            return
         attempt = self._attempt()
         runs: list[Run] = []
         tasks = iter(range(job.spec.frames))
         for name, count in hold.slots.items():
-            touched.add(name)
             for _ in range(count):
                 runs.append(self._new_run(job, next(tasks), self.machines[name], attempt, now))
         gangs.begin(job, runs, now)
@@ -274,10 +278,10 @@
                 self.stop_for_room(run, f"room for {job.id}", now)
 
     def _plan_array(
-        self, job: Job, planned: list[Run], touched: set[str], now: float
+        self, job: Job, planned: list[Run], now: float
     ) -> None:
         spec = job.spec
-        taken = self._held.taken(job.id, preemption.rank(job))
+        taken = self._held.taken(job.id, self.turn(job))
         places = self._array_places(job, taken, now)
         zones = job.zones_used(self.zone_of) if spec.same_place or spec.scatter else {}
         most_in_zone = (spec.frames + 1) // 2
@@ -291,7 +295,7 @@
             if only is not None and machine.zone != only:
                 continue
             while count > 0 and len(planned) < MOST_PLANNED:
-                if not self._may_touch(machine, touched, 1):
+                if not self._recordable(machine, 1):
                     break
                 if patient and not machine.spot and self._free_plain < job.need[1]:
                     break
@@ -306,7 +310,6 @@
                 run = self._new_run(job, index, machine, self._attempt(), now)
                 job.add_run(run)
                 planned.append(run)
-                touched.add(machine.name)
                 if not machine.spot:
                     self._free_plain -= job.need[1]
                 zones[machine.zone] = zones.get(machine.zone, 0) + 1
--- a/topazhold/core/preemption.py
+++ b/topazhold/core/preemption.py
@@ -8,8 +8,13 @@
 
 
 def rank(job: Job) -> tuple[int, int]:
-    """The order in which work goes: within a guarantee first, then by urgency."""
-    return (0 if job.within else 1, job.level)
+    """The order in which work goes: within a guarantee first, then by urgency.
+
+    A gang that has waited long is as good as within a guarantee. Without that,
+    work within guarantees fills every machine that a large gang needs, task by
+    task, and the gang never begins.
+    """
+    return (0 if job.within or job.pressing else 1, job.level)
 
 
 def behind(first: tuple[int, int], victim: Job) -> bool:
--- a/topazhold/core/realm.py
+++ b/topazhold/core/realm.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import math
+
 from topazhold.core import preemption, renting
 from topazhold.core.jobs import GangState, Job, Room, RunState
 from topazhold.core.ledger import NO_ROOM
@@ -43,8 +45,19 @@
         hold = self.book.of_job(job.id)
         return hold is None or self.spent(job, hold)
 
-    def offers(self, zone: str, now: float) -> list[Offer]:
-        """The zone's cache: machines with room, soonest free first."""
+    def largest_gang(self, now: float) -> Job | None:
+        """The waiting gang with the most tasks that must share a zone."""
+        gangs = [job for job in self.waiting_gangs(now) if job.spec.same_place]
+        return max(gangs, key=lambda job: (job.spec.frames, job.id), default=None)
+
+    def offers(self, zone: str, now: float, largest: Job | None = None) -> list[Offer]:
+        """The zone's cache: machines with room, soonest free first.
+
+        Twenty machines can't give a gang of sixteen its alpha·N candidates, and
+        in a full zone they are those where a card comes free, not a machine. So
+        the cache is as long as the largest waiting gang needs, and every other
+        place in it goes to the machines that are soonest free for its tasks.
+        """
         found = []
         for machine in self.machines.values():
             if machine.zone == zone and machine.breed is not None:
@@ -52,7 +65,15 @@
                 if offer is not None:
                     found.append(offer)
         found.sort(key=sooner)
-        return found[:CACHE_LENGTH]
+        if largest is None:
+            return found[:CACHE_LENGTH]
+        length = max(CACHE_LENGTH, math.ceil(self.alpha * largest.spec.frames))
+        rank = preemption.rank(largest)
+        fitting = sorted(
+            found, key=lambda offer: (offer.ready_for(rank, largest.need), sooner(offer))
+        )
+        both = [offer for pair in zip(fitting, found, strict=True) for offer in pair]
+        return list(dict.fromkeys(both))[:length]
 
     def _offer(self, machine: Machine, now: float) -> Offer | None:
         assert machine.breed is not None
--- a/topazhold/core/records.py
+++ b/topazhold/core/records.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
-from typing import Any
+from collections.abc import Iterable
+from typing import Any, NamedTuple
 
 import msgspec
 
-from topazhold.core.jobs import PART, Job, JobState, Run
+from topazhold.core.jobs import PART, Job, JobState
+from topazhold.core.machines import Machine
 from topazhold.wire import messages as wire
 from topazhold.wire.codec import BadMessage, convert
 from topazhold.wire.messages import JobSpec
@@ -34,8 +36,8 @@
     return f"{PART_PREFIX}{job}/{part:03d}"
 
 
-def on_key(machine: str) -> str:
-    return ON_PREFIX + machine
+def on_key(shelf: str) -> str:
+    return ON_PREFIX + shelf
 
 
 def live_value(job: Job, token: str) -> dict[str, Any]:
@@ -98,24 +100,44 @@
     return wire.DONE if done else wire.ABORTED
 
 
-def on_value(flight: int, runs: list[Run], zone: str, spot: bool, breed: str, token: str) -> Any:
-    """A machine's intents: everything that may be, or may come to be, on it."""
-    return {
-        "by": token,
-        "flight": flight,
-        "box": [zone, spot, breed],
-        "runs": [[run.job.id, run.index, run.attempt] for run in runs],
-    }
-
-
-def read_on(data: Any) -> tuple[int, list[tuple[str, int, int]], tuple[str, bool, str]]:
-    """Flight, runs and the machine's place; ValueError if unreadable."""
-    try:
-        runs = [(str(job), int(index), int(attempt)) for job, index, attempt in data["runs"]]
-        zone, spot, breed = data["box"]
-        return int(data["flight"]), runs, (str(zone), bool(spot), str(breed))
-    except (KeyError, TypeError) as exc:
-        raise ValueError(f"not a machine's intents: {exc}") from None
+def on_value(machines: Iterable[Machine], token: str) -> Any:
+    """A shelf's intents: everything that may be, or may come to be, on its machines."""
+    boxes = {}
+    for machine in machines:
+        if machine.runs and machine.breed is not None:
+            boxes[machine.name] = [
+                machine.flight, machine.zone, machine.spot, machine.breed.label,
+                [[run.job.id, run.index, run.attempt] for run in machine.runs.values()],
+            ]  # fmt: skip
+    return {"by": token, "boxes": boxes}
+
+
+class Intents(NamedTuple):
+    """What may be on one machine."""
+
+    machine: str
+    flight: int
+    zone: str
+    spot: bool
+    breed: str
+    runs: list[tuple[str, int, int]]
+
+
+def read_on(data: Any) -> tuple[list[Intents], list[str]]:
+    """The machines of a shelf, and the names of those that can't be read."""
+    found: list[Intents] = []
+    unreadable: list[str] = []
+    boxes = data.get("boxes") if isinstance(data, dict) else None
+    for name, item in boxes.items() if isinstance(boxes, dict) else ():
+        try:
+            flight, zone, spot, breed, runs = item
+            packed = [(str(job), int(index), int(attempt)) for job, index, attempt in runs]
+            found.append(
+                Intents(str(name), int(flight), str(zone), bool(spot), str(breed), packed)
+            )
+        except (TypeError, ValueError):
+            unreadable.append(str(name))
+    return found, unreadable
 
 
 def parts_of(job: Job) -> int:
--- a/topazhold/core/recovery.py
+++ b/topazhold/core/recovery.py
@@ -8,23 +8,17 @@
 
 from collections.abc import Iterable
 
-from topazhold.core import gangs, records
+from topazhold.core import gangs
 from topazhold.core.jobs import Job, JobState, Run
-from topazhold.core.machines import Machine, MachineState
+from topazhold.core.machines import MachineState
 from topazhold.core.realm import Realm
-
-Intents = tuple[str, int, int, list[tuple[str, int, int]], tuple[str, bool, str]]
+from topazhold.core.records import Intents
 
 
 def missing_jobs(jobs: Iterable[str], intents: Iterable[Intents]) -> list[str]:
     """Jobs named by intents that are not live: they are over, and must be read."""
     known = set(jobs)
-    return sorted({job for _, _, _, runs, _ in intents for job, _, _ in runs} - known)
-
-
-def read_intents(machine: str, data: object, mark: int) -> Intents:
-    flight, runs, place = records.read_on(data)
-    return (machine, flight, mark, runs, place)
+    return sorted({job for each in intents for job, _, _ in each.runs} - known)
 
 
 def take_over(realm: Realm, jobs: Iterable[Job], intents: Iterable[Intents], now: float) -> None:
@@ -33,15 +27,14 @@
         realm.add_job(job)
         if job.complete and job.state is JobState.LIVE:
             realm.finished.append(job)
-    for name, flight, mark, runs, (zone, spot, breed) in intents:
-        machine = realm.add_machine(name, zone, spot, breed, now)
-        machine.on_mark = mark
-        machine.flight = flight
-        if machine.state is MachineState.STARTING and flight:
+    for each in sorted(intents, key=lambda each: each.flight):
+        machine = realm.add_machine(each.machine, each.zone, each.spot, each.breed, now)
+        machine.flight = each.flight
+        if machine.state is MachineState.STARTING and each.flight:
             machine.hear(False, now)
             machine.heard_at = None
-        for job_id, index, attempt in runs:
-            _adopt(realm, job_id, index, attempt, machine, now)
+        for job_id, index, attempt in each.runs:
+            _adopt(realm, job_id, index, attempt, machine.name, each.flight, now)
     for job in list(realm.jobs.values()):
         if job.gang and job.state is JobState.LIVE:
             gangs.resume(job, now)
@@ -49,7 +42,7 @@
 
 
 def _adopt(
-    realm: Realm, job_id: str, index: int, attempt: int, machine: Machine, now: float
+    realm: Realm, job_id: str, index: int, attempt: int, machine: str, flight: int, now: float
 ) -> None:
     job = realm.jobs.get(job_id)
     if job is None or index >= job.spec.frames or job.done[index]:
@@ -62,6 +55,6 @@
         if old.attempt >= attempt:
             return
         realm.supersede(old, now)
-    run = Run(job, index, attempt, machine.name, now)
-    run.flight = machine.flight
+    run = Run(job, index, attempt, machine, now)
+    run.flight = flight
     realm.adopt(run)
--- a/topazhold/core/search.py
+++ b/topazhold/core/search.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from random import Random
 from typing import Any
 
@@ -56,6 +56,13 @@
         rungs.sort(key=lambda rung: rung[0])
         return rungs
 
+    def ready_for(self, rank: Rank, need: Room) -> float:
+        """How soon there is room for one task of this size."""
+        for delay, room in self.ladder(rank, None):
+            if fits(need, room):
+                return delay
+        return math.inf
+
     def pack(self) -> list[Any]:
         return [
             self.name, self.breed, self.spot, sorted(self.images),
@@ -326,17 +333,16 @@
     return best
 
 
-def pack_summary(offers: Iterable[Offer], limit: int, size_of: Any) -> list[Any]:
-    """A zone's cache for the state service, cut to its value limit."""
-    packed: list[Any] = []
+def cut_summary(packed: Iterable[Any], limit: int, size_of: Callable[[Any], int]) -> list[Any]:
+    """A zone's packed cache for the state service, cut to its value limit."""
+    kept: list[Any] = []
     size = 0
-    for offer in offers:
-        item = offer.pack()
+    for item in packed:
         size += size_of(item) + 1
-        if size > limit or len(packed) == CACHE_LENGTH:
+        if size > limit:
             break
-        packed.append(item)
-    return packed
+        kept.append(item)
+    return kept
 
 
 def sooner(offer: Offer) -> tuple[float, float]:
--- a/topazhold/settings.py
+++ b/topazhold/settings.py
@@ -34,6 +34,7 @@
 class Objective(msgspec.Struct):
     kind: str
     lane: str | None = msgspec.field(name="class", default=None)
+    within_s: float | None = None
 
 
 class Workers(msgspec.Struct):
@@ -90,6 +91,7 @@
     search_rounds: int = 20
     summary_s: float = 5.0
     hold_lapse_s: float = 60.0
+    longest_wait_s: float = 240.0
     headroom_share: float = 0.15
     reserve_share: float = 0.35
     idle_boots: float = 1.0
@@ -180,6 +182,7 @@
         ("search_rounds", 0, 1000),
         ("summary_s", 0.5, 600.0),
         ("hold_lapse_s", 1.0, 3600.0),
+        ("longest_wait_s", 1.0, 86400.0),
         ("headroom_share", 0.0, 4.0),
         ("reserve_share", 0.0, 0.9),
         ("idle_boots", 0.0, 100.0),
