--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -51,7 +51,7 @@
 
     def hold(self, job: Job, slots: dict[str, int], serial: int = 1) -> Hold:
         hold = Hold(
-            job.id, slots, job.need, 0.0, serial, 1e9, True, rank(job)
+            job.id, slots, job.need, 0.0, serial, 1e9, True, (*rank(job), job.arrived)
         )
         self.book.holds.setdefault("hive-0", {})[job.id] = hold
         return hold
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -89,6 +89,7 @@
         self.cuts: set[frozenset[str]] = set()
         self.holding = False  # cuts keep requests and deliver them late
         self.loss = 0.0
+        self.copies = 0.0  # share of workers' reports that arrive once more, late
         self.places: dict[str, str] = {}  # host -> zone, for cuts between zones
 
     def cut(self, one: str, other: str) -> bool:
@@ -133,6 +134,17 @@
             raise NoAnswer(target)
         return status, pack(answer) if answer is not None else b""
 
+    async def copy(
+        self, source: str, targets: list[str], method: str, path: str, message: Any
+    ) -> None:
+        """Perhaps a copy that arrives seconds to well over a lease later, anywhere."""
+        if self.rng.random() < self.copies:
+            handler = self.hosts.get(self.rng.choice(targets))
+            if handler is not None:
+                await curio.spawn(
+                    self._late, handler, source, method, path, pack(message), daemon=True
+                )
+
     async def _late(
         self, handler: Handler, source: str, method: str, path: str, body: bytes
     ) -> None:
@@ -338,6 +350,7 @@
         self.up = False
         self.gone = False
         self.hanging_until = 0.0
+        self.deaf_until = 0.0  # its reports arrive, answers and commands don't
         self.gone_at: float | None = None
         self.sick = False
         self.lease_from = 0.0
@@ -390,9 +403,14 @@
         lease_s = self.world.settings.cluster.workers.lease_s
         if self.world.clock.now - self.lease_from > lease_s and self.up:
             self.world.note(f"{self.name}: lease ended")
-            self.tasks.clear()
-            self.flight += 1
-            self.lease_from = self.world.clock.now
+            self.new_session()
+
+    def new_session(self) -> None:
+        """All tasks are gone, and the next session begins."""
+        self.tasks.clear()
+        self.flight += 1
+        self.lease_from = self.world.clock.now
+        self.changed = True
 
     async def _report_once(self) -> float:
         world = self.world
@@ -401,10 +419,15 @@
         flight = self.flight
         names = world.names
         target = names[self.node % len(names)]
+        rep = self.report()
+        await world.net.copy(self.host, names, "POST", "/v1/report", rep)
         try:
             status, body = await world.net.ask(
-                self.host, target, "POST", "/v1/report", self.report(), 4.0
+                self.host, target, "POST", "/v1/report", rep, 4.0
             )
+            if sent < self.deaf_until:
+                await curio.sleep(max(0.0, sent + 4.0 - world.clock.now))
+                raise NoAnswer(target)
         except (NotSent, NoAnswer):
             self.node += 1
             return 1.0
@@ -431,7 +454,7 @@
     async def handle(
         self, source: str, method: str, path: str, body: Any
     ) -> tuple[int, Any]:
-        if self.gone:
+        if self.gone or self.world.clock.now < self.deaf_until:
             await curio.sleep(1e9)
         while self.world.clock.now < self.hanging_until:
             await curio.sleep(0.2)
--- a/tests/test_random_days.py
+++ b/tests/test_random_days.py
@@ -9,10 +9,13 @@
 from tests.standins import VirtualTime, run_virtual
 from tests.world import World
 
-CONTROLLERS = ["crash", "crash", "crash_queen", "crash_all", "roll"]
-NETWORK = ["zones_cut", "node_cut", "node_off_state", "machine_cut", "queen_off_zone", "loss"]
+CONTROLLERS = ["crash", "crash", "crash_queen", "crash_all", "roll", "crash_election"]
+NETWORK = [
+    "zones_cut", "node_cut", "node_off_state", "machine_cut", "queen_off_zone", "loss",
+    "node_off_all_but_workers", "queen_off_all_but_workers", "late_copies",
+]
 OUTSIDE = ["state_down", "state_refused", "queen_refused", "cloud_down"]
-MACHINES = ["hang", "hang", "notice", "taken", "sick"]
+MACHINES = ["hang", "hang", "notice", "taken", "sick", "deaf", "deaf_zone", "blink"]
 ALL = CONTROLLERS + NETWORK + OUTSIDE + MACHINES
 
 DAYS = [
@@ -26,6 +29,11 @@
     (8, ["loss", "crash_queen", "hang"]),
     (9, ["state_down", "roll", "zones_cut"]),
     (10, ["queen_refused", "queen_off_zone", "notice"]),
+    (11, ["deaf"]),
+    (12, ["deaf", "deaf_zone", "late_copies", "crash_queen"]),
+    (13, ["late_copies", "taken", "crash_queen", "crash_election"]),
+    (14, ["node_off_all_but_workers", "queen_off_all_but_workers"]),
+    (15, ["queen_off_all_but_workers", "crash_election", "blink", "late_copies"]),
 ]
 
 
--- a/tests/test_realm.py
+++ b/tests/test_realm.py
@@ -4,9 +4,11 @@
 
 from tests.conftest import Bench, make_spec
 from topazhold.core import preemption, recovery
-from topazhold.core.jobs import GangState, Job, JobState, RunState
+from topazhold.core.jobs import GangState, Job, JobState, Run, RunState
 from topazhold.core.machines import MachineState
-from topazhold.wire.messages import FrameReport
+from topazhold.core.records import Intents
+from topazhold.core.renting import counted
+from topazhold.wire.messages import FrameReport, ListedBox
 
 
 def launched(calls: list) -> list[str]:
@@ -290,7 +292,7 @@
     """An intent may be running until its machine has reported under this crown."""
     bench = Bench(machines=0, crown=8)
     job = Job(make_spec(shape="batch", frames=1), bench.now, 1e9, "hive-0")
-    intents = [("host-0", 1, 7, [("wk-000001", 0, 77)], ("a", False, "b1"))]
+    intents = [Intents("host-0", 1, "a", False, "b1", [("wk-000001", 0, 77)])]
     recovery.take_over(bench.realm, [job], intents, bench.now)
     bench.report("host-1")
     assert bench.plan() == []
@@ -304,7 +306,7 @@
     bench = Bench(machines=0, crown=8)
     job = Job(make_spec(shape="batch", frames=1), bench.now, 1e9, "hive-0")
     job.abort(bench.now)
-    intents = [("host-0", 1, 7, [("wk-000001", 0, 77)], ("a", False, "b1"))]
+    intents = [Intents("host-0", 1, "a", False, "b1", [("wk-000001", 0, 77)])]
     recovery.take_over(bench.realm, [job], intents, bench.now)
     assert bench.realm.usage.used("red") == (4.0, 2.0)
     bench.realm.tick(bench.now)
@@ -326,7 +328,6 @@
     assert job.runs[0] is run
     bench.frames[run.machine] = frames
     bench.realm.machine_gone("host-3", bench.now)
-    from topazhold.wire.messages import ListedBox
 
     bench.realm.listed([ListedBox("host-3", "b1", "b", "running")], bench.now, bench.now)
     assert "host-3" not in bench.realm.machines
@@ -374,7 +375,7 @@
     bench = Bench(machines=0, crown=8)
     job = Job(make_spec(shape="batch", frames=1), bench.now, 1e9, "hive-0")
     job.abort(bench.now - 0.7 * bench.realm.cancel_s)
-    intents = [("host-0", 1, 7, [("wk-000001", 0, 77)], ("a", False, "b1"))]
+    intents = [Intents("host-0", 1, "a", False, "b1", [("wk-000001", 0, 77)])]
     recovery.take_over(bench.realm, [job], intents, bench.now)
     bench.realm.tick(bench.now)
     assert bench.realm.releases == {}
@@ -386,10 +387,9 @@
 def test_takeover_while_a_gang_is_stopped_lets_it_save() -> None:
     bench = Bench(machines=0, crown=8)
     job = Job(make_spec(frames=2), bench.now, 1e9, "hive-0")
-    place = ("a", False, "b1")
     intents = [
-        ("host-0", 1, 7, [("wk-000001", 0, 77)], place),
-        ("host-2", 1, 7, [("wk-000001", 1, 77)], place),
+        Intents("host-0", 1, "a", False, "b1", [("wk-000001", 0, 77)]),
+        Intents("host-2", 1, "a", False, "b1", [("wk-000001", 1, 77)]),
     ]
     recovery.take_over(bench.realm, [job], intents, bench.now)
     for index, name in enumerate(("host-0", "host-2")):
@@ -405,3 +405,147 @@
     bench.report("host-2")
     bench.realm.tick(bench.now)
     assert job.gang_state is GangState.WAITING
+
+
+# -- machines that report but hear nothing ----------------------------------------
+
+
+def test_machine_whose_launches_never_arrive_is_deaf(bench: Bench) -> None:
+    """Its reports look well, so gangs were booked there again and again."""
+    job = bench.job(make_spec())
+    bench.hold(job, {"host-0": 1, "host-2": 1})
+    bench.plan()
+    for _ in range(3):
+        bench.report("host-0", carry_out=False)
+        bench.report("host-2")
+    machine = bench.realm.machines["host-0"]
+    assert machine.deaf and not bench.realm.usable(machine, bench.now)
+    assert not machine.runs, "no limit is kept for it"
+    assert not counted(machine)
+    bench.realm.tick(bench.now)
+    assert job.gang_state is not GangState.STARTING
+    bench.all_report()
+    bench.stage("host-2", "ended", "stopped")
+    bench.report("host-2")
+    bench.realm.tick(bench.now)
+    bench.hold(job, {"host-0": 1, "host-2": 1}, serial=2)
+    assert bench.plan() == [] and bench.realm.rejected[job.id] == 2
+
+
+def test_lease_that_ends_though_answered_shows_a_deaf_machine(bench: Bench) -> None:
+    bench.job(make_spec(shape="batch", frames=1))
+    (run,) = bench.plan()
+    bench.report(run.machine)
+    bench.report(run.machine)
+    assert run.state is RunState.PULLING
+    bench.frames[run.machine] = {}
+    bench.now += 0.5
+    bench.report(run.machine, flight=2)
+    machine = bench.realm.machines[run.machine]
+    assert machine.deaf and run.state is RunState.GONE
+    again = bench.plan()
+    assert again and again[0].machine != run.machine, "placed again, elsewhere"
+    for _ in range(14):  # a session that outlasts its lease has heard answers
+        bench.now += 1.0
+        bench.report(run.machine, flight=2)
+    assert not machine.deaf
+
+
+def test_lone_deaf_machine_is_released_and_a_deaf_zone_is_not() -> None:
+    bench = Bench(machines=8)
+    for name in ("host-0", "host-1", "host-3", "host-5", "host-7"):
+        bench.realm.machines[name].turn_deaf(bench.now)
+    for _ in range(25):
+        bench.now += 1.0
+        for name in bench.realm.machines:
+            bench.tallies[name] += 1
+            bench.realm.machines[name].heard_at = bench.now
+        bench.realm.tick(bench.now)
+    assert set(bench.realm.releases) == {"host-0"}
+
+
+def test_hang_longer_than_a_lease_is_not_deafness(bench: Bench) -> None:
+    bench.now += 30.0
+    bench.report("host-0", flight=2)
+    assert not bench.realm.machines["host-0"].deaf
+
+
+def test_newer_session_settles_an_earlier_reigns_intents() -> None:
+    """A deaf machine never reports under the new crown; its tasks must not wait for that."""
+    bench = Bench(machines=0, crown=8)
+    job = Job(make_spec(shape="batch", frames=1), bench.now, 1e9, "hive-0")
+    intents = [Intents("host-0", 3, "a", False, "b1", [("wk-000001", 0, 77)])]
+    recovery.take_over(bench.realm, [job], intents, bench.now)
+    bench.report("host-1")
+    bench.report("host-0", crown=7, flight=3)
+    assert bench.plan() == [], "the same session proves nothing"
+    bench.report("host-0", crown=7, flight=4)
+    assert [run.machine for run in bench.plan()] == ["host-1"]
+
+
+def test_launch_only_in_the_session_that_the_intent_names(bench: Bench) -> None:
+    """What makes the proof above hold."""
+    bench.job(make_spec(shape="batch", frames=1))
+    (run,) = bench.plan()
+    run.flight = 9
+    assert launched(bench.report(run.machine)) == []
+
+
+def test_late_copy_to_a_new_queen_brings_no_machine_back() -> None:
+    """She can't know that it was released: it must not count as capacity."""
+    bench = Bench(machines=1, crown=8)
+    bench.report("host-9", crown=7)
+    machine = bench.realm.machines["host-9"]
+    assert not counted(machine) and counted(bench.realm.machines["host-0"])
+    assert bench.realm.directory() == [("host-0", "a")]
+    bench.realm.listed([ListedBox("host-9", "b1", "a", "running")], bench.now, bench.now)
+    assert counted(machine)
+
+
+# -- turns ------------------------------------------------------------------------
+
+
+def test_gang_that_has_waited_long_goes_before_work_within_guarantees() -> None:
+    """Arrays within guarantees filled each machine before a large gang had them all."""
+    bench = Bench(machines=2)
+    filler = bench.job(make_spec(1, shape="batch", frames=4, cards=2.0, urgency="best_effort",
+                                 crew="red", same_place=False))  # fmt: skip
+    bench.plan()
+    bench.all_report()
+    bench.stage("host-0", "running")
+    bench.all_report()
+    gang = bench.job(make_spec(2, frames=1, cards=4.0, crew="blue", urgency="urgent"))
+    other = bench.job(make_spec(3, frames=1, cards=4.0, crew="blue", urgency="urgent"))
+    bench.realm.refresh_guarantees()
+    assert filler.within and gang.within and not other.within
+    assert preemption.rank(other) > preemption.rank(filler)
+    assert not preemption.may_stop(other, filler, bench.realm.usage)
+    bench.now += 0.3 * 240.0 + 1.0
+    bench.realm.tick(bench.now)
+    assert other.pressing and preemption.may_stop(other, filler, bench.realm.usage)
+    assert not preemption.may_stop(filler, other, bench.realm.usage), "never both ways"
+
+
+def test_cache_is_as_long_as_the_largest_gang_needs() -> None:
+    """Of twenty machines no sixteen whole ones can be had where cards come free one by one."""
+    bench = Bench(machines=0)
+    for number in range(60):
+        bench.report(f"host-{number}")
+    assert len(bench.realm.offers("a", bench.now)) == 20
+    gang = bench.job(make_spec(frames=16, cards=1.0))
+    assert bench.realm.largest_gang(bench.now) is gang
+    assert len(bench.realm.offers("a", bench.now, gang)) == 32
+
+
+def test_cache_names_whole_machines_for_a_gang_that_needs_them() -> None:
+    bench = Bench(machines=0)
+    for number in range(50):
+        bench.report(f"host-{number:02d}")
+    for machine in list(bench.realm.machines.values())[:45]:
+        job = bench.job(make_spec(100 + len(bench.realm.jobs), shape="batch", frames=1, cards=1.0))
+        run = Run(job, 0, 1, machine.name, bench.now)
+        run.state = RunState.RUNNING
+        bench.realm._attach(run)
+    gang = bench.job(make_spec(frames=5, cards=4.0, vcpus=16.0))
+    whole = {f"host-{number:02d}" for number in range(45, 50)}
+    assert whole <= {offer.name for offer in bench.realm.offers("a", bench.now, gang)}
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -4,17 +4,20 @@
 
 from topazhold.control.relay import Shelter
 from topazhold.core.leadership import Leadership, Role
-from topazhold.wire.messages import Report
+from topazhold.wire.messages import FrameReport, Report
 
 
-def report(crown: int = 7, box: str = "host-1") -> Report:
-    return Report(box, "h:1", "b1", "a", False, 1, 1, crown, [])
+def report(
+    crown: int = 7, box: str = "host-1", zone: str = "a", busy: bool = False
+) -> Report:
+    frames = [FrameReport("wk-1/0", 1, "running")] if busy else []
+    return Report(box, "h:1", "b1", zone, False, 1, 1, crown, frames)
 
 
 def follower(queen: str | None = "hive-1", crown: int = 7) -> tuple[Shelter, Leadership]:
     lead = Leadership("hive-0")
     lead.crown, lead.queen = crown, queen
-    return Shelter(lead, grant_s=2.0, lease_s=10.0, now=0.0), lead
+    return Shelter(lead, "a", 2, grant_s=2.0, lease_s=10.0, now=0.0), lead
 
 
 def test_sends_workers_to_a_queen_that_lives() -> None:
@@ -79,3 +82,49 @@
     shelter.heard("hive-2", True, None, 2.0)
     assert shelter.alone(2.5)
     assert shelter.alone(60.0)
+
+
+# -- a node that reaches nothing but workers ------------------------------------
+
+
+def test_adrift_only_without_state_service_and_peers() -> None:
+    shelter, _ = follower()
+    assert not shelter.adrift(False, 1.0), "just started"
+    assert shelter.adrift(False, 10.0)
+    assert not shelter.adrift(True, 10.0)
+    shelter.heard("hive-2", False, None, 10.0)
+    assert not shelter.adrift(False, 11.0)
+
+
+def test_adrift_node_sends_workers_away_that_can_reach_others() -> None:
+    """Its answers led nowhere: nothing launched, nothing seen to end, while the queen waited."""
+    shelter, _ = follower()
+    assert shelter.adrift(False, 20.0)
+    assert not shelter.keeps_adrift(report(box="host-9", zone="b"), 20.0)
+    assert not shelter.keeps_adrift(report(busy=True), 20.5), "the zone is not cut off"
+
+
+def test_node_of_a_cut_zone_keeps_busy_workers() -> None:
+    """Sent away, they would find nobody, and lose their leases on the way round."""
+    shelter, _ = follower()
+    assert shelter.adrift(False, 20.0)
+    assert not shelter.keeps_adrift(report(box="host-2"), 20.0), "has nothing to lose"
+    assert shelter.keeps_adrift(report(busy=True), 20.5)
+    assert shelter.keeps_adrift(report(box="host-2"), 26.0), "it came back: nobody else is there"
+    for second in range(21, 36):
+        assert shelter.keeps_adrift(report(busy=True), float(second))
+
+
+def test_worker_sent_ahead_that_stays_away_shows_the_way_out() -> None:
+    shelter, _ = follower()
+    assert shelter.adrift(False, 20.0)
+    assert not shelter.keeps_adrift(report(box="host-2", busy=True), 20.0), "one goes ahead"
+    assert shelter.keeps_adrift(report(box="host-3", busy=True), 20.5)
+    assert not shelter.keeps_adrift(report(box="host-3", busy=True), 31.0)
+
+
+def test_adrift_node_never_keeps_a_worker_that_saw_another_crown() -> None:
+    shelter, _ = follower()
+    assert shelter.adrift(False, 20.0)
+    shelter.keeps_adrift(report(box="host-2"), 20.0)
+    assert not shelter.keeps_adrift(report(crown=8, busy=True), 20.5)
--- a/tests/test_search.py
+++ b/tests/test_search.py
@@ -6,7 +6,7 @@
 
 from tests.conftest import make_spec
 from topazhold.core import search
-from topazhold.core.holds import Hold, HoldBook, pack_value
+from topazhold.core.holds import HeldRooms, Hold, HoldBook, Turn, pack_value
 from topazhold.core.search import Offer, SearchRules
 
 RULES = SearchRules(2.0, 16, 20, distance_s=1.0, preference_s=0.5)
@@ -88,8 +88,8 @@
     assert group is not None and group.slots == {"m2": 1}
 
 
-def hold(job: str, machine: str, rank: tuple[int, int] = (1, 2)) -> Hold:
-    return Hold(job, {machine: 1}, (4.0, 4.0, 8.0), 1.0, 1, 1.0, True, rank)
+def hold(job: str, machine: str, turn: Turn = (1, 2, 5.0)) -> Hold:
+    return Hold(job, {machine: 1}, (4.0, 4.0, 8.0), 1.0, 1, 1.0, True, turn)
 
 
 def test_hold_round_trip_and_unreadable_ones() -> None:
@@ -98,8 +98,22 @@
     value["holds"].append(["nonsense"])
     book.read("hive-1", value, 7)
     assert book.of_job("wk-1") is not None
-    assert book.taken("wk-2", (1, 2), lambda hold: True)["m1"] == (4.0, 4.0, 8.0)
-    assert book.taken("wk-2", (0, 2), lambda hold: True) == {}
+    assert book.taken("wk-2", (1, 2, 6.0), lambda hold: True)["m1"] == (4.0, 4.0, 8.0)
+    assert book.taken("wk-2", (0, 2, 6.0), lambda hold: True) == {}
+
+
+def test_holds_bind_only_those_whose_turn_comes_later() -> None:
+    """Else a stream of small gangs keeps a large one, that came first, from its machines."""
+    book = HoldBook("hive-0")
+    book.read("hive-1", pack_value([hold("wk-1", "m1"), hold("wk-3", "m3", (0, 2, 9.0))], "t"), 7)
+    assert book.taken("wk-2", (1, 2, 4.0), lambda hold: True).keys() == {"m3"}
+    rooms = HeldRooms(book, lambda hold: hold.turn)
+    assert rooms.taken("wk-2", (0, 2, 8.0)) == {}
+    assert rooms.taken("wk-2", (1, 2, 4.0)).keys() == {"m3"}
+    assert rooms.taken("wk-2", (1, 2, 6.0)).keys() == {"m1", "m3"}
+    assert rooms.taken("wk-1", (1, 2, 6.0))["m1"] == (0.0, 0.0, 0.0)
+    rooms.release("wk-3")
+    assert rooms.taken("wk-2", (1, 3, 0.0))["m3"] == (0.0, 0.0, 0.0)
 
 
 def test_booking_guards_all_other_holds() -> None:
--- a/tests/world.py
+++ b/tests/world.py
@@ -21,7 +21,17 @@
 from topazhold.io.http import NoAnswer, NotSent
 from topazhold.wire.codec import unpack
 
+#: Troubles that cut connections.
+CUTS = (
+    "zones_cut", "node_cut", "node_off_state", "machine_cut", "queen_off_zone",
+    "node_off_all_but_workers", "queen_off_all_but_workers",
+)
 STEP_S = 0.1
+#: How long a question may go unanswered once troubles are over.
+KNOWN_S = 75.0
+#: Tasks of the largest gangs, and how soon they must begin.
+LARGEST = 4
+BEGIN_S = 240.0
 NAMES = ("hive-0", "hive-1", "hive-2")
 ZONES = {"hive-0": "a", "hive-1": "b", "hive-2": "a"}
 
@@ -55,6 +65,11 @@
         self.broken: list[str] = []
         self.notes: list[str] = []
         self.starts = 0
+        self.submitted_at: dict[str, float] = {}
+        self.began_at: dict[str, float] = {}  # jobs, by the start of their first task
+        self.answered_at: dict[str, float] = {}
+        self.asking: set[str] = set()  # jobs whose users still ask
+        self.calm_at: float | None = None
         self.refusals: dict[int, int] = {}
 
     def note(self, text: str) -> None:
@@ -69,6 +84,7 @@
     def started(self, worker: Worker, task: Task) -> None:
         """A task has its image: the moment that the rules look at."""
         self.starts += 1
+        self.began_at.setdefault(task.job, self.clock.now)
         frame = task.frame
         for other in self.cloud.workers.values():
             for there in other.present():
@@ -142,9 +158,42 @@
             if used.get(team.name, 0.0) > team.gpus_max + 1e-6:
                 self.violate("quota", f"{team.name} uses {used[team.name]}")
 
+    def check_known(self) -> None:
+        """Once all troubles are over, every accepted job is answered for."""
+        if self.calm_at is None:
+            return
+        for job in self.asking & self.told.keys():
+            last = max(self.calm_at, self.answered_at.get(job, 0.0))
+            if self.clock.now - last > KNOWN_S:
+                self.violate("forgotten", f"{job}: no question answered for {KNOWN_S} s")
+                self.asking.discard(job)
+
+    def check_shares(self) -> None:
+        """At a day's end: no class, team or largest size starves."""
+        accepted = [job for job in self.told if job not in self.cancel_asked]
+        groups: dict[str, list[str]] = {}
+        for job in accepted:
+            spec = self.specs[job]
+            if spec["lane"] != "broken":
+                groups.setdefault(f"class {spec['lane']}", []).append(job)
+                groups.setdefault(f"team {spec['crew']}", []).append(job)
+                if spec["shape"] == "gang" and spec["frames"] == LARGEST:
+                    groups.setdefault("largest", []).append(job)
+        for name, jobs in groups.items():
+            served = [job for job in jobs if job in self.began_at]
+            if name == "largest":
+                served = [
+                    job for job in served
+                    if self.began_at[job] - self.submitted_at[job] <= BEGIN_S
+                ]  # fmt: skip
+            if 2 * len(served) < len(jobs):
+                self.violate("starved", f"{name}: {len(served)} of {len(jobs)}")
+
     def hear(self, job: str, status: int, body: Any, submitted: bool) -> None:
         """A user got an answer about a job."""
         before = self.told.get(job)
+        if status in (200, 201):
+            self.answered_at[job] = self.clock.now
         if status == 404 and before is not None:
             self.violate("forgotten", job)
         if submitted and status in (400, 422) and before is not None:
@@ -210,6 +259,8 @@
             spec["lane"] = "broken"
         job = spec["id"]
         self.specs[job] = spec
+        self.submitted_at[job] = self.clock.now
+        self.asking.add(job)
         self.run_s[job] = 45.0 if rng.random() < 0.1 else rng.uniform(2.0, 15.0)
         cancel_at = self.clock.now + rng.uniform(1.0, 30.0) if rng.random() < 0.25 else None
         if spec["lane"] == "broken":
@@ -232,6 +283,7 @@
                 status, body = await self.ask("GET", f"/api/jobs/{job}", None, 2.0)
             self.hear(job, status, body, False)
             await curio.sleep(rng.uniform(0.5, 3.0))
+        self.asking.discard(job)
         for _ in range(3):  # a final answer stays
             await curio.sleep(rng.uniform(1.0, 20.0))
             status, body = await self.ask("GET", f"/api/jobs/{job}", None, 2.0)
@@ -269,6 +321,14 @@
                 await curio.sleep(2.0)
         elif kind == "crash_queen":
             await self.crash([n for n, node in self.nodes.items() if node.reign is not None])
+        elif kind == "crash_election":
+            # Whoever is elected ends at once, and is back within a moment.
+            for _ in range(3):
+                await self.crash(
+                    [n for n, node in self.nodes.items() if node.reign is not None],
+                    [0.02, 0.1, 0.3],
+                )
+                await curio.sleep(rng.uniform(0.0, 2.0))
         elif kind == "state_down":
             self.state.set_down(True)
             await curio.sleep(for_s)
@@ -283,8 +343,17 @@
                     self.state.refused.add(n)
             await curio.sleep(for_s)
             self.state.refused.clear()
-        elif kind in ("zones_cut", "node_cut", "node_off_state", "machine_cut", "queen_off_zone"):
+        elif kind in CUTS:
             await self.cut(kind, name, for_s)
+        elif kind == "late_copies":
+            self.net.copies = 0.3
+            await curio.sleep(for_s)
+            self.net.copies = 0.0
+        elif kind == "deaf_zone":
+            zone = rng.choice("ab")
+            for worker in self.cloud.workers.values():
+                if worker.zone == zone:
+                    worker.deaf_until = self.clock.now + for_s
         elif kind == "loss":
             self.net.loss = 0.1
             await curio.sleep(for_s)
@@ -304,6 +373,13 @@
                 if o != name
             ],
             "node_off_state": [(name, StateService.HOST)],
+            "node_off_all_but_workers": [
+                (name, o) for o in (*self.names, StateService.HOST) if o != name
+            ],
+            "queen_off_all_but_workers": [
+                (n, o) for n, node in self.nodes.items() if node.reign is not None
+                for o in (*self.names, StateService.HOST) if o != n
+            ],
             "queen_off_zone": [
                 (n, "b") for n, node in self.nodes.items() if node.reign is not None
             ],
@@ -323,6 +399,10 @@
         for worker in self.rng.sample(workers, min(len(workers), self.rng.choice([1, 2]))):
             if kind == "hang":
                 worker.hanging_until = self.clock.now + for_s
+            elif kind == "deaf":
+                worker.deaf_until = self.clock.now + 2 * for_s
+            elif kind == "blink":
+                worker.new_session()
             elif kind == "notice":
                 worker.gone_at = self.clock.now + self.rng.uniform(2.0, 10.0)
             elif kind == "taken":
@@ -330,11 +410,11 @@
             elif kind == "sick":
                 worker.sick = True
 
-    async def crash(self, names: list[str]) -> None:
+    async def crash(self, names: list[str], back_s: list[float] | None = None) -> None:
         for name in names:
             if name in self.nodes:
                 await stop_node(self, name)
-        await curio.sleep(self.rng.choice([0.2, 1.0, 3.0]))
+        await curio.sleep(self.rng.choice(back_s or [0.05, 0.2, 1.0, 3.0]))
         for name in names:
             if name not in self.nodes:
                 await start_node(self, name)
@@ -347,6 +427,7 @@
             for worker in list(self.cloud.workers.values()):
                 worker.step(STEP_S)
             self.check()
+            self.check_known()
             self.cloud.snapshot()
 
     async def play(self, jobs: int, trouble_s: float, calm_s: float, kinds: list[str]) -> None:
@@ -365,11 +446,13 @@
         if troubles is not None:
             await troubles.cancel()
         self.note("calm")
+        self.calm_at = self.clock.now + 40.0  # what is under way has ended by then
         end = self.clock.now + calm_s
         while self.clock.now < end and not all(user.terminated for user in users):
             await curio.sleep(1.0)
         for task in (steps, stranger, *users):
             await task.cancel()
+        self.check_shares()
         for name in list(self.nodes):
             await stop_node(self, name)
 
--- a/topazhold/control/relay.py
+++ b/topazhold/control/relay.py
@@ -33,30 +33,35 @@
     def __init__(self, zone: str, lease_s: float) -> None:
         self._zone = zone
         self._lease_s = lease_s
-        self._sent: dict[str, float] = {}  # workers sent ahead
+        self._sent: dict[str, float] = {}  # workers sent ahead, and not back yet
+        self._back: dict[str, float] = {}  # those that found nobody
         self._way_out = False
 
     def end(self) -> None:
         """The node is in touch again."""
         self._sent.clear()
+        self._back.clear()
         self._way_out = False
 
     def keeps(self, rep: Report, now: float) -> bool:
-        back = self._sent.get(rep.box)
-        if back is not None and now - back > 0.25:
-            # It went round and found nobody. It stays for another lease time.
+        sent = self._sent.pop(rep.box, None)
+        if sent is not None:
+            self._back[rep.box] = now
             self._way_out = False
-            if now - back < 2 * self._lease_s:
+        if rep.box in self._back:
+            # It went round and found nobody. It stays for a lease time.
+            if now - self._back[rep.box] < self._lease_s:
                 return True
-            del self._sent[rep.box]
+            del self._back[rep.box]
         elif rep.apiary != self._zone or any(
             now - at > self._lease_s for at in self._sent.values()
         ):
             self._way_out = True
         if self._way_out:
+            self._sent[rep.box] = now
             return False
         idle = not rep.frames
-        if idle or not self._sent:
+        if idle or not (self._sent or self._back):
             # Those with nothing to lose go first; else one for all.
             self._sent[rep.box] = now
             return False
