--- a/topazhold/control/reign.py
+++ b/topazhold/control/reign.py
@@ -44,7 +44,7 @@
 RETRY_REPORTS = 0.25
 #: Shortest times between looks at the clocks of all, and between plans.
 TICK_REPORTS = 0.1
-PLAN_REPORTS = 0.03
+PLAN_REPORTS = 0.06
 #: Changes that a plan costs at the least, about.
 PLAN_WRITES = 2
 #: Time left to others after deciding, as a multiple of what it took.
--- a/topazhold/core/ledger.py
+++ b/topazhold/core/ledger.py
@@ -14,6 +14,7 @@
 from topazhold.core.holds import HeldRooms, HoldBook
 from topazhold.core.jobs import UNSENT, Job, JobState, Room, Run, RunState
 from topazhold.core.machines import Machine, MachineState
+from topazhold.core.search import Offer
 from topazhold.settings import Operator, Settings
 from topazhold.wire.messages import Breed
 
@@ -29,8 +30,8 @@
 
 NO_ROOM: Room = (0.0, 0.0, 0.0)
 
-#: Per team, for each job with tasks on machines: urgency, rank, CPUs, cards.
-LowerWork = dict[str, list[tuple[int, tuple[int, int], float, float]]]
+#: For each job of a team with tasks on machines: urgency, rank, CPUs, cards.
+LowerWork = list[tuple[int, tuple[int, int], float, float]]
 
 #: States of a machine whose worker has been heard.
 UP = (MachineState.UNSYNCED, MachineState.READY, MachineState.DRAINING)
@@ -95,7 +96,9 @@
         # Of the round of planning that is under way:
         self._held = HeldRooms(book, lambda hold: None)
         self._roomy: list[Machine] = []
-        self._lower: LowerWork | None = None
+        self._lower: dict[str, LowerWork] = {}
+        self._least: Room = NO_ROOM
+        self._offers: dict[str, tuple[float, list[Offer]]] = {}
 
     def add_job(self, job: Job) -> None:
         """A job is live: accepted just now, or found by a new queen."""
@@ -196,7 +199,7 @@
         """Whether new work may be planned there."""
         return (
             machine.state is MachineState.READY
-            and not machine.deaf
+            and machine.deaf_since is None
             and machine.sick_until <= now
             # Relayed reports don't count: a launch needs an answer of our own.
             and now - machine.reached_at < 2.5 * self.report_s
--- a/topazhold/core/machines.py
+++ b/topazhold/core/machines.py
@@ -134,7 +134,11 @@
 
     def free(self) -> Room:
         """Room that nothing on the machine, or on its way there, takes."""
-        return plus(self.total, self.used, -1.0)
+        breed = self.breed
+        if breed is None:
+            return (0.0, 0.0, 0.0)
+        used = self.used
+        return (breed.vcpus - used[0], breed.cards - used[1], breed.ram_gb - used[2])
 
     @property
     def empty(self) -> bool:
--- a/topazhold/core/placing.py
+++ b/topazhold/core/placing.py
@@ -31,7 +31,9 @@
     def wants_plan(self, machine: Machine, now: float) -> bool:
         """Whether a round of planning might place something on this machine."""
         room = machine.free()
-        return self.usable(machine, now) and any(
+        if not fits(self._least, room) or not self.usable(machine, now):
+            return False
+        return any(
             job.waiting_count > 0 and job.not_before <= now
             and (not job.gang or job.gang_state is GangState.WAITING)
             and fits(job.need, room)
@@ -62,17 +64,17 @@
 
     def _survey(self, jobs: list[Job], now: float) -> None:
         """What a round of planning needs to know of the whole fleet."""
-        self._lower = None
+        self._lower = {}
         self._held = HeldRooms(self.book, self._turn_of)
-        least = (
-            min(job.need[0] for job in jobs),
-            min(job.need[1] for job in jobs),
-            min(job.need[2] for job in jobs),
+        needs = [job.need for job in jobs]
+        self._least = (
+            min(need[0] for need in needs),
+            min(need[1] for need in needs),
+            min(need[2] for need in needs),
         )
         self._roomy = [
             machine for machine in self.machines.values()
-            if self.usable(machine, now) and machine.breed is not None
-            and fits(least, machine.free())
+            if fits(self._least, machine.free()) and self.usable(machine, now)
         ]  # fmt: skip
 
     def _claim(self, job: Job) -> None:
@@ -96,20 +98,23 @@
             if run.present and not (other.gang and other.gang_state is GangState.STARTING)
         ]  # fmt: skip
 
-    def _lower_work(self) -> LowerWork:
-        """What each job has on machines, by team; added up once per round."""
-        if self._lower is not None:
-            return self._lower
-        self._lower = {}
+    def _lower_work(self, crew: str) -> LowerWork:
+        """What each job of a team has on machines; added up once per round."""
+        found = self._lower.get(crew)
+        if found is not None:
+            return found
+        found = self._lower[crew] = []
         for job in self.jobs.values():
-            if not job.runs or (job.gang and job.gang_state is GangState.STARTING):
+            if job.spec.crew != crew or not job.runs:
+                continue
+            if job.gang and job.gang_state is GangState.STARTING:
                 continue
             count = sum(run.present for run in job.runs.values())
             if count:
-                self._lower.setdefault(job.spec.crew, []).append(
+                found.append(
                     (job.level, preemption.rank(job), job.need[0] * count, job.need[1] * count)
                 )
-        return self._lower
+        return found
 
     def _limit_reachable(self, job: Job) -> bool:
         """Whether the gang fits its team's limit, lower work of the team stopped."""
@@ -117,7 +122,7 @@
             return True
         vcpus = cards = 0.0
         rank = preemption.rank(job)
-        for level, of_rank, of_vcpus, of_cards in self._lower_work().get(job.spec.crew, ()):
+        for level, of_rank, of_vcpus, of_cards in self._lower_work(job.spec.crew):
             if level > job.level and of_rank > rank:
                 vcpus += of_vcpus
                 cards += of_cards
--- a/topazhold/core/realm.py
+++ b/topazhold/core/realm.py
@@ -17,6 +17,8 @@
 from topazhold.core.search import CACHE_LENGTH, Offer, Rank, sooner
 from topazhold.wire import messages as wire
 
+#: How old an offer may be.
+OFFER_REPORTS = 0.2
 #: Natural ends listed in an offer.
 MOST_RUNGS = 4
 
@@ -27,7 +29,7 @@
     def waiting_gangs(self, now: float) -> list[Job]:
         """Gangs that need a hold: none in force, and their team may use the room."""
         found = []
-        self._lower = None
+        self._lower = {}
         for job in self._waiting_jobs(now):
             if not job.gang or not self._limit_reachable(job):
                 continue
@@ -58,13 +60,7 @@
         the cache is as long as the largest waiting gang needs, and every other
         place in it goes to the machines that are soonest free for its tasks.
         """
-        found = []
-        for machine in self.machines.values():
-            if machine.zone == zone and machine.breed is not None:
-                offer = self._offer(machine, now)
-                if offer is not None:
-                    found.append(offer)
-        found.sort(key=sooner)
+        found = self._all_offers(zone, now)
         if largest is None:
             return found[:CACHE_LENGTH]
         length = max(CACHE_LENGTH, math.ceil(self.alpha * largest.spec.frames))
@@ -75,6 +71,21 @@
         both = [offer for pair in zip(fitting, found, strict=True) for offer in pair]
         return list(dict.fromkeys(both))[:length]
 
+    def _all_offers(self, zone: str, now: float) -> list[Offer]:
+        """Every machine's offer; searches and summaries of about the same time share them."""
+        at, found = self._offers.get(zone, (-1e9, []))
+        if now - at < OFFER_REPORTS * self.report_s:
+            return found
+        found = []
+        for machine in self.machines.values():
+            if machine.zone == zone and machine.breed is not None:
+                offer = self._offer(machine, now)
+                if offer is not None:
+                    found.append(offer)
+        found.sort(key=sooner)
+        self._offers[zone] = (now, found)
+        return found
+
     def _offer(self, machine: Machine, now: float) -> Offer | None:
         assert machine.breed is not None
         rungs: list[tuple[float, Room]] = []
@@ -153,7 +164,7 @@
         found = renting.wishes(
             self.jobs.values(), breeds, self.usage.teams, self.zone_of, self.rent_rules, growing
         )
-        self._lower = None
+        self._lower = {}
         held = {name for hold in self.book.all() if self._binding(hold) for name in hold.slots}
         asks: list[renting.Ask] = []
         for breed in breeds:
