--- a/tests/test_search.py
+++ b/tests/test_search.py
@@ -107,7 +107,7 @@
     book = HoldBook("hive-0")
     book.read("hive-1", pack_value([hold("wk-1", "m1"), hold("wk-3", "m3", (0, 2, 9.0))], "t"), 7)
     assert book.taken("wk-2", (1, 2, 4.0), lambda hold: True).keys() == {"m3"}
-    rooms = HeldRooms(book, lambda hold: hold.turn)
+    rooms = HeldRooms(book, lambda hold: hold.turn, lambda hold: False)
     assert rooms.taken("wk-2", (0, 2, 8.0)) == {}
     assert rooms.taken("wk-2", (1, 2, 4.0)).keys() == {"m3"}
     assert rooms.taken("wk-2", (1, 2, 6.0)).keys() == {"m1", "m3"}
@@ -141,3 +141,15 @@
     held = {"m1": 1, "m2": 1}
     assert search.score_held(held, caches, spec, (1, 2), {}, RULES) >= 90.0
     assert search.score_held({"m9": 2}, caches, spec, (1, 2), {}, RULES) == float("inf")
+
+
+def test_work_that_yields_uses_room_of_gangs_that_still_wait() -> None:
+    """Gangs that waited for their last machine kept a quarter of a fleet idle."""
+    book = HoldBook("hive-0")
+    book.read("hive-1", pack_value([hold("wk-1", "m1"), hold("wk-3", "m3", (0, 2, 9.0))], "t"), 7)
+    rooms = HeldRooms(book, lambda hold: hold.turn, lambda hold: hold.job == "wk-3")
+    assert rooms.taken("wk-2", (1, 3, 7.0), yields=True).keys() == {"m3"}, "wk-3 gathers"
+    assert rooms.taken("wk-2", (1, 3, 7.0)).keys() == {"m1", "m3"}
+    assert rooms.taken("wk-2", (1, 3, 8.0), yields=True).keys() == {"m3"}
+    equal = HeldRooms(book, lambda hold: hold.turn, lambda hold: False)
+    assert equal.taken("wk-2", (1, 2, 7.0), yields=True).keys() == {"m1", "m3"}
--- a/topazhold/core/holds.py
+++ b/topazhold/core/holds.py
@@ -11,8 +11,10 @@
 from typing import Any
 
 from topazhold.core.jobs import Room
+from topazhold.wire import messages as wire
 
 HOLD_PREFIX = "hold/"
+LEVELS = len(wire.URGENCIES)
 
 #: Whose turn it is: outside its guarantee, urgency, time of submission; smaller goes first.
 Turn = tuple[int, int, float]
@@ -137,32 +139,52 @@
 class HeldRooms:
     """What holds keep, added up as the turns of a round of planning go by."""
 
-    def __init__(self, book: HoldBook, turn_of: Callable[[Hold], Turn | None]) -> None:
-        """`turn_of` gives the present turn of a hold's job; None if it binds nobody."""
+    def __init__(
+        self, book: HoldBook, turn_of: Callable[[Hold], Turn | None],
+        gathers: Callable[[Hold], bool],
+    ) -> None:  # fmt: skip
+        """`turn_of` gives the present turn of a hold's job; None if it binds nobody.
+
+        `gathers` tells whether the job is getting its room just now.
+        """
+        self._gathers = gathers
         turns = [(turn_of(hold), hold) for hold in book.all()]
         self._waiting = sorted(
             ((turn, hold.serial, hold) for turn, hold in turns if turn is not None),
             key=lambda item: item[:2], reverse=True,
         )  # fmt: skip
-        self._rooms: dict[str, Room] = {}
-        self._own: dict[str, list[Hold]] = {}
+        self._own: dict[str, list[tuple[Turn, Hold]]] = {}
+        self._rooms: dict[int, dict[str, Room]] = {}
+
+    def _add(self, turn: Turn, hold: Hold, sign: int = 1) -> None:
+        gathers = self._gathers(hold)
+        for level in range(-1, LEVELS):
+            if level <= turn[1] or gathers:
+                add_hold(self._rooms.setdefault(level, {}), hold, sign)
 
     def release(self, job: str) -> None:
         """The job begins: its holds keep nothing any more."""
-        for hold in self._own.pop(job, ()):
-            add_hold(self._rooms, hold, -1)
+        for turn, hold in self._own.pop(job, ()):
+            self._add(turn, hold, -1)
         self._waiting = [item for item in self._waiting if item[2].job != job]
 
-    def taken(self, skip_job: str, turn: Turn) -> Mapping[str, Room]:
-        """As `HoldBook.taken`; turns must come in order."""
+    def taken(self, skip_job: str, turn: Turn, yields: bool = False) -> Mapping[str, Room]:
+        """As `HoldBook.taken`; turns must come in order.
+
+        Work that `yields` may use the room of more urgent gangs that still wait
+        for other machines: it can be stopped once they have them. Else a gang
+        that waits for its last machine keeps all its others idle.
+        """
         while self._waiting and self._waiting[-1][0] <= turn:
-            _, _, hold = self._waiting.pop()
-            self._own.setdefault(hold.job, []).append(hold)
-            add_hold(self._rooms, hold)
-        own = self._own.get(skip_job)
+            of_turn, _, hold = self._waiting.pop()
+            self._own.setdefault(hold.job, []).append((of_turn, hold))
+            self._add(of_turn, hold)
+        level = turn[1] if yields else -1
+        rooms = self._rooms.setdefault(level, {})
+        own = [hold for of, hold in self._own.get(skip_job, ()) if level <= of[1]]
         if not own:
-            return self._rooms
-        rooms = dict(self._rooms)
+            return rooms
+        rooms = dict(rooms)
         for hold in own:
             add_hold(rooms, hold, -1)
         return rooms
--- a/topazhold/core/jobs.py
+++ b/topazhold/core/jobs.py
@@ -159,6 +159,7 @@
         self.level = wire.URGENCIES.index(spec.urgency)
         self.within = False
         self.pressing = False  # a gang that has waited long
+        self.gathers_until = -1e9  # work gives way to it, on all its machines
         self.runs: dict[int, Run] = {}
         self.done = bytearray(spec.frames)
         self.done_count = 0
--- a/topazhold/core/ledger.py
+++ b/topazhold/core/ledger.py
@@ -22,8 +22,8 @@
 
 #: Attempts are numbered within a reign, so no number is ever used twice.
 ATTEMPTS_PER_REIGN = 1 << 24
-#: A gang is pressing once it has waited for this share of its class's shortest
-#: aim for a start, or of the longest wait that the operators allow.
+#: A gang is pressing once it has waited for this share of the longest wait that
+#: the operators allow.
 PRESSING_SHARE = 0.3
 #: Gone machines, and jobs that are over, kept against late news of them.
 MOST_REMEMBERED = 4000
@@ -84,17 +84,12 @@
         self._starved_since: dict[str, float] = {}
         self._wanting_since: dict[str, float] = {}
         self._claims: dict[str, tuple[float, float]] = {}
-        self.longest_wait_s = operator.longest_wait_s
-        self.patience_s: dict[str, float] = {}
-        for aim in cluster.objectives:
-            if aim.kind == "wait" and aim.lane is not None and aim.within_s is not None:
-                patience = min(PRESSING_SHARE * aim.within_s, PRESSING_SHARE * self.longest_wait_s)
-                self.patience_s[aim.lane] = min(patience, self.patience_s.get(aim.lane, patience))
+        self.patience_s = PRESSING_SHARE * operator.longest_wait_s
         self.quick_lanes = {aim.lane for aim in cluster.objectives if aim.kind == "wait"}
         self.reserve_share = operator.reserve_share
         self._free_plain = 0.0
         # Of the round of planning that is under way:
-        self._held = HeldRooms(book, lambda hold: None)
+        self._held = HeldRooms(book, lambda hold: None, lambda hold: False)
         self._roomy: list[Machine] = []
         self._lower: dict[str, LowerWork] = {}
         self._least: Room = NO_ROOM
--- a/topazhold/core/placing.py
+++ b/topazhold/core/placing.py
@@ -65,7 +65,9 @@
     def _survey(self, jobs: list[Job], now: float) -> None:
         """What a round of planning needs to know of the whole fleet."""
         self._lower = {}
-        self._held = HeldRooms(self.book, self._turn_of)
+        self._held = HeldRooms(
+            self.book, self._turn_of, lambda hold: self.jobs[hold.job].gathers_until > now
+        )
         needs = [job.need for job in jobs]
         self._least = (
             min(need[0] for need in needs),
@@ -278,6 +280,8 @@
             if found is None:
                 return
             chosen += found
+        # From now on not even work that yields may come in between.
+        job.gathers_until = now + 2 * self.report_s
         for run in chosen:
             if not run.stopping:
                 self.stop_for_room(run, f"room for {job.id}", now)
@@ -286,7 +290,7 @@
         self, job: Job, planned: list[Run], now: float
     ) -> None:
         spec = job.spec
-        taken = self._held.taken(job.id, self.turn(job))
+        taken = self._held.taken(job.id, self.turn(job), spec.cap_s > 0)
         places = self._array_places(job, taken, now)
         zones = job.zones_used(self.zone_of) if spec.same_place or spec.scatter else {}
         most_in_zone = (spec.frames + 1) // 2
--- a/topazhold/core/stopping.py
+++ b/topazhold/core/stopping.py
@@ -7,7 +7,7 @@
 
 from topazhold.core import gangs
 from topazhold.core.jobs import UNSENT, GangState, Job, JobState, Run, RunState
-from topazhold.core.ledger import PRESSING_SHARE, UP
+from topazhold.core.ledger import UP
 from topazhold.core.machines import Machine, MachineState
 from topazhold.core.ordering import Ordering
 
@@ -82,9 +82,8 @@
     def _step_gang(self, job: Job, now: float) -> None:
         before = job.gang_state
         if before is GangState.WAITING and not job.pressing:
-            patience = self.patience_s.get(job.spec.lane, PRESSING_SHARE * self.longest_wait_s)
             # For good: else the work that gave way to it would stop it in turn.
-            job.pressing = now - job.arrived > patience
+            job.pressing = now - job.arrived > self.patience_s
         why = gangs.step(job, self.clock, now)
         if job.gang_state is GangState.RUNNING and before is GangState.STARTING:
             log.info("gang %s runs, %.1f s after it came", job.id, now - job.arrived)
