Turns only for those that press; small tasks keep off empty machines

Now equals bind each other, first come first served, until one presses. An array gets room back where it costs least, not from lone tasks of urgent gangs.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -10,7 +10,7 @@
 from tests.standins import settings_for
 from topazhold.core.holds import Hold, HoldBook
 from topazhold.core.jobs import Job, Run
-from topazhold.core.preemption import rank
+from topazhold.core.preemption import turn
 from topazhold.core.realm import Realm
 from topazhold.settings import Operator
 from topazhold.wire.messages import Breed, Call, FrameReport, JobSpec, Report
@@ -51,7 +51,7 @@
 
     def hold(self, job: Job, slots: dict[str, int], serial: int = 1) -> Hold:
         hold = Hold(
-            job.id, slots, job.need, 0.0, serial, 1e9, True, (*rank(job), job.arrived)
+            job.id, slots, job.need, 0.0, serial, 1e9, True, turn(job)
         )
         self.book.holds.setdefault("hive-0", {})[job.id] = hold
         return hold
--- a/topazhold/control/booking.py
+++ b/topazhold/control/booking.py
@@ -12,6 +12,8 @@
 
 from topazhold.control.store import DECISIONS, TROUBLE, Conflict, Store
 from topazhold.core.holds import HOLD_PREFIX, Hold, HoldBook, Turn, pack_value
+from topazhold.core.jobs import Job
+from topazhold.core.preemption import turn
 from topazhold.core.search import Group, Offer, SearchRules, score_held, search, unpack_offer
 from topazhold.settings import Operator, Settings
 from topazhold.wire import messages as wire
@@ -31,19 +33,16 @@
 class Wanted:
     """A gang that this controller searches for."""
 
-    __slots__ = ("spec", "rank", "submitted", "since")
+    __slots__ = ("spec", "turn", "since")
 
-    def __init__(
-        self, spec: JobSpec, rank: tuple[int, int], submitted: float, since: float
-    ) -> None:
+    def __init__(self, spec: JobSpec, turn: Turn, since: float) -> None:
         self.spec = spec
-        self.rank = rank
-        self.submitted = submitted  # time of day
+        self.turn = turn
         self.since = since
 
     @property
-    def turn(self) -> Turn:
-        return (*self.rank, self.submitted)
+    def rank(self) -> tuple[int, int]:
+        return self.turn[:2]
 
 
 class View:
@@ -106,10 +105,9 @@
         self.wrote_at = -1e9
         self.wake = curio.Event()
 
-    async def accepted(self, spec: JobSpec, submitted: float, now: float) -> None:
+    async def accepted(self, job: Job, now: float) -> None:
         """This node has accepted a gang: search for it now."""
-        rank = (1, wire.URGENCIES.index(spec.urgency))
-        self.wanted[spec.id] = Wanted(spec, rank, submitted, now)
+        self.wanted[job.id] = Wanted(job.spec, turn(job), now)
         await self.wake.set()
 
     def forget(self, job: str) -> None:
@@ -139,7 +137,7 @@
         draft = HoldBook(self.node)
         draft.holds = {**self.book.holds, self.node: self.mine}
         order = sorted(
-            self.wanted.values(), key=lambda w: (w.spec.id in self.mine, w.turn)
+            self.wanted.values(), key=lambda w: (w.spec.id in self.mine, w.turn, w.since)
         )
         for wanted in order[:MOST_SEARCHED]:
             job = wanted.spec.id
--- a/topazhold/control/node.py
+++ b/topazhold/control/node.py
@@ -27,7 +27,7 @@
 from topazhold.core.holds import HoldBook
 from topazhold.core.jobs import Job
 from topazhold.core.leadership import CROWN_KEY, QUEEN_KEY, Leadership, Role, read_value
-from topazhold.core.preemption import rank
+from topazhold.core.preemption import turn
 from topazhold.io.http import Answer, Client, Request, Server
 from topazhold.io.links import Link, Listener
 from topazhold.settings import Operator, Settings, address
@@ -208,7 +208,7 @@
         if self.reign is not None:
             await self.reign.accepted(job)
         if job.gang:
-            await self.booking.accepted(job.spec, job.submitted, await curio.clock())
+            await self.booking.accepted(job, await curio.clock())
 
     def _running_count(self, job_id: str) -> int:
         if self.reign is not None and self.reign.loaded:
@@ -533,7 +533,7 @@
                 if job.id not in self.booking.mine:
                     self.booking.forget(job.id)
                     continue
-            wanted[job.id] = Wanted(job.spec, rank(job), job.submitted, job.arrived)
+            wanted[job.id] = Wanted(job.spec, turn(job), job.arrived)
             hold = self.booking.mine.get(job.id)
             if hold is not None and reign.realm.spent(job, hold):
                 del self.booking.mine[job.id]
@@ -550,16 +550,16 @@
                 if self.view.at - wanted.since > 2 * PEER_SUMMARY_S:
                     booking.forget(job_id)
             else:
-                wanted.rank, wanted.submitted = told[1][:2], told[1][2]
+                wanted.turn = told[1]
                 if told[2]:
                     hold = booking.mine.get(job_id)
                     if hold is not None and time.time() - hold.made > self.operator.summary_s:
                         del booking.mine[job_id]  # refused, or used up
-        for job_id, (node, turn, _) in waiting.items():
+        for job_id, (node, its_turn, _) in waiting.items():
             if node == self.name and job_id not in booking.wanted:
                 spec = await self._read_spec(job_id)
                 if spec is not None:
-                    booking.wanted[job_id] = Wanted(spec, turn[:2], turn[2], now)
+                    booking.wanted[job_id] = Wanted(spec, its_turn, now)
 
     async def _read_spec(self, job_id: str) -> JobSpec | None:
         entry = await self.store.get(records.live_key(job_id), DECISIONS)
--- a/topazhold/control/reign.py
+++ b/topazhold/control/reign.py
@@ -27,7 +27,7 @@
 from topazhold.core.jobs import Job, JobState, Run, RunState
 from topazhold.core.leadership import QUEEN_KEY
 from topazhold.core.machines import Machine
-from topazhold.core.preemption import rank
+from topazhold.core.preemption import turn
 from topazhold.core.realm import Realm
 from topazhold.core.renting import Ask
 from topazhold.core.search import cut_summary
@@ -683,7 +683,7 @@
             names = [name for name, of_zone in directory if of_zone == zone]
             values[zone] = {"cache": cache, "all": names[:MOST_NAMED]}
         waiting = [
-            [job.id, job.node, *rank(job), round(job.submitted, 1), realm.needs_hold(job)]
+            [job.id, job.node, *turn(job), realm.needs_hold(job)]
             for job in realm.waiting_gangs(now)[:MOST_TOLD]
         ]
         running: dict[str, int] = {}
--- a/topazhold/core/ledger.py
+++ b/topazhold/core/ledger.py
@@ -22,8 +22,8 @@
 
 #: Attempts are numbered within a reign, so no number is ever used twice.
 ATTEMPTS_PER_REIGN = 1 << 24
-#: A gang is pressing once it has waited for this share of the longest wait that
-#: the operators allow.
+#: A gang is pressing once it has waited for this share of its class's longest aim
+#: for a start, or of the longest wait that the operators allow.
 PRESSING_SHARE = 0.3
 #: Gone machines, and jobs that are over, kept against late news of them.
 MOST_REMEMBERED = 4000
@@ -84,7 +84,12 @@
         self._starved_since: dict[str, float] = {}
         self._wanting_since: dict[str, float] = {}
         self._claims: dict[str, tuple[float, float]] = {}
-        self.patience_s = PRESSING_SHARE * operator.longest_wait_s
+        self.longest_wait_s = operator.longest_wait_s
+        self.aimed_wait_s: dict[str, float] = {}
+        for aim in cluster.objectives:
+            if aim.kind == "wait" and aim.lane is not None and aim.within_s is not None:
+                longest = max(self.aimed_wait_s.get(aim.lane, 0.0), aim.within_s)
+                self.aimed_wait_s[aim.lane] = min(longest, self.longest_wait_s)
         self.quick_lanes = {aim.lane for aim in cluster.objectives if aim.kind == "wait"}
         self.reserve_share = operator.reserve_share
         self._free_plain = 0.0
--- a/topazhold/core/placing.py
+++ b/topazhold/core/placing.py
@@ -15,6 +15,8 @@
 
 log = logging.getLogger(__name__)
 
+#: Tasks of an array that get room back from other teams at once.
+MOST_CALLED_BACK = 16
 #: Runs planned in one round.
 MOST_PLANNED = 96
 
@@ -149,16 +151,12 @@
             if job.state is JobState.LIVE and job.waiting_count > 0 and job.not_before <= now
             and not (job.gang and job.gang_state is not GangState.WAITING)
         ]  # fmt: skip
-        jobs.sort(key=lambda job: (self.turn(job), job.id))
+        jobs.sort(key=lambda job: (preemption.turn(job), self._due(job), job.id))
         return jobs
 
-    def turn(self, job: Job) -> Turn:
-        """The order in which waiting jobs are planned, and in which their holds bind."""
-        return (*preemption.rank(job), self._due(job))
-
     def _turn_of(self, hold: Hold) -> Turn | None:
         """By what is known now: the hold itself names the turn of when it was made."""
-        return self.turn(self.jobs[hold.job]) if self._binding(hold) else None
+        return preemption.turn(self.jobs[hold.job]) if self._binding(hold) else None
 
     def _due(self, job: Job) -> float:
         """When the job should have begun: deadlines by slack, others by arrival."""
@@ -195,7 +193,7 @@
             return
         if not self._limit_reachable(job):
             return
-        taken = self._held.taken(job.id, self.turn(job))
+        taken = self._held.taken(job.id, preemption.turn(job))
         short: list[tuple[Machine, Room]] = []
         for name, count in hold.slots.items():
             machine = self.machines[name]
@@ -290,7 +288,7 @@
         self, job: Job, planned: list[Run], now: float
     ) -> None:
         spec = job.spec
-        taken = self._held.taken(job.id, self.turn(job), spec.cap_s > 0)
+        taken = self._held.taken(job.id, preemption.turn(job), spec.cap_s > 0)
         places = self._array_places(job, taken, now)
         zones = job.zones_used(self.zone_of) if spec.same_place or spec.scatter else {}
         most_in_zone = (spec.frames + 1) // 2
@@ -392,16 +390,24 @@
         if now - since < 2 * self.report_s:
             return
         self._starved_since[job.id] = now
-        wanted = min(job.waiting_count, 16)
+        wanted = min(job.waiting_count, MOST_CALLED_BACK)
+        choices: list[tuple[float, str]] = []
         for machine in self.machines.values():
-            if wanted <= 0:
-                return
             if not self.usable(machine, now) or machine.breed is None:
                 continue
             if not allowed(job.spec, machine.breed.label, machine.zone, machine.spot):
                 continue
+            held = taken.get(machine.name, NO_ROOM)
+            found = preemption.victims(machine, job.need, job, self.usage, held, now)
+            if found:
+                cost = sum(preemption.loss(run, now, job.level) for run in found)
+                choices.append((cost, machine.name))
+        # The cheapest first: a lone task of an urgent gang must not leave for one
+        # of an array where other arrays' tasks could.
+        for _, name in sorted(choices):
             while wanted > 0:
-                held = taken.get(machine.name, NO_ROOM)
+                held = taken.get(name, NO_ROOM)
+                machine = self.machines[name]
                 found = preemption.victims(machine, job.need, job, self.usage, held, now)
                 if not found:
                     break
--- a/topazhold/core/preemption.py
+++ b/topazhold/core/preemption.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from topazhold.core.holds import LATER, Turn
 from topazhold.core.jobs import GangState, Job, Room, Run, RunState
 from topazhold.core.machines import Machine, fits, plus
 from topazhold.core.quota import Usage
@@ -17,6 +18,15 @@
     return (0 if job.within or job.pressing else 1, job.level)
 
 
+def turn(job: Job) -> Turn:
+    """Whose holds bind whom: those of equals bind each other, first come first served.
+
+    Small gangs find room sooner than large ones, and it serves most of them best to
+    take it. A large one that has waited long goes before them, by its submission.
+    """
+    return (*rank(job), job.submitted if job.pressing else LATER)
+
+
 def behind(first: tuple[int, int], victim: Job) -> bool:
     """Whether work of rank `first` might stop the victim, teams left aside."""
     if first >= rank(victim):
@@ -41,13 +51,17 @@
     )
 
 
-def loss(run: Run, now: float) -> float:
-    """Seconds of work, over all tasks told to stop with it, that a stop costs."""
+def loss(run: Run, now: float, level: int = 0) -> float:
+    """Seconds of work, over all tasks told to stop with it, that a stop costs.
+
+    `level` is the urgency of the work that it would be stopped for.
+    """
     job = run.job
     tasks = len(job.runs) if job.gang else 1
     elapsed = now - run.running_since if run.running_since is not None else 0.0
     lost = job.spec.seal_s if job.spec.cap_s > 0 else elapsed
-    return (lost + 1.0) * tasks + 10.0 * (3 - job.level)
+    more_urgent = max(0, level - job.level)
+    return (lost + 1.0) * tasks + 10.0 * (3 - job.level) + 60.0 * more_urgent
 
 
 def victims(
@@ -69,7 +83,7 @@
     if fits(need, room):
         return []
     chosen: list[Run] = []
-    for run in sorted(candidates, key=lambda run: loss(run, now)):
+    for run in sorted(candidates, key=lambda run: loss(run, now, job.level)):
         chosen.append(run)
         room = plus(room, run.job.need)
         if fits(need, room):
--- a/topazhold/core/search.py
+++ b/topazhold/core/search.py
@@ -21,6 +21,8 @@
 #: (outside its guarantee, urgency): smaller goes first.
 Rank = tuple[int, int]
 
+#: What breaking into an empty machine costs, in full preferences.
+BREAK_PREFERENCE = 1.5
 #: Machines in a zone's cache.
 CACHE_LENGTH = 20
 
@@ -154,6 +156,7 @@
     if spec.comb not in offer.images:
         fetch = spec.image_gb / offer.fetch_rate if offer.fetch_rate > 0 else 0.0
     slots: list[Slot] = []
+    whole = offer.rungs[-1][1] if offer.rungs else need
     for delay, room in offer.ladder(rank, held):
         count = times_fits(need, room, most)
         cost = 0.0
@@ -161,7 +164,11 @@
             cost += rules.preference_s  # leave ordinary machines to those who need them
         if room[1] > 0:
             left = (room[1] - need[1]) / room[1]
-            cost += 0.5 * rules.preference_s * left  # fill machines that are in use already
+            # Fill machines that are in use already: gangs of whole machines find
+            # none where every one has a small task on it.
+            cost += 0.5 * rules.preference_s * left
+            if need[1] * count < whole[1] and room[1] >= whole[1]:
+                cost += BREAK_PREFERENCE * rules.preference_s
         while len(slots) < count:
             slots.append(Slot(offer, len(slots), delay, delay + fetch, cost))
     return slots
