--- a/topazhold/core/ledger.py
+++ b/topazhold/core/ledger.py
@@ -24,7 +24,7 @@
 ATTEMPTS_PER_REIGN = 1 << 24
 #: A gang is pressing once it has waited for this share of its class's longest aim
 #: for a start, or of the longest wait that the operators allow.
-PRESSING_SHARE = 0.3
+PRESSING_SHARE = 0.5
 #: Gone machines, and jobs that are over, kept against late news of them.
 MOST_REMEMBERED = 4000
 
--- a/topazhold/core/placing.py
+++ b/topazhold/core/placing.py
@@ -342,8 +342,14 @@
         return free - self.reserve_share * total
 
     def _patient(self, job: Job, now: float) -> bool:
-        """Whether the job may wait: no quick start is aimed at, and there is slack."""
-        if job.within or not self.quick_lanes or job.spec.lane in self.quick_lanes:
+        """Whether the job may wait: no quick start is aimed at, and there is slack.
+
+        Also within its guarantee, if it may use spot machines: ordinary ones are all
+        that those have who may not.
+        """
+        if not self.quick_lanes or job.spec.lane in self.quick_lanes:
+            return False
+        if job.within and not job.spec.drones:
             return False
         return now < self._due(job) - self.lease_s
 
