--- a/tests/test_realm.py
+++ b/tests/test_realm.py
@@ -520,7 +520,7 @@
     assert filler.within and gang.within and not other.within
     assert preemption.rank(other) > preemption.rank(filler)
     assert not preemption.may_stop(other, filler, bench.realm.usage)
-    bench.now += 0.5 * 240.0 + 1.0
+    bench.now += bench.realm.patience_s(other) + 1.0
     bench.realm.tick(bench.now)
     assert other.pressing and preemption.may_stop(other, filler, bench.realm.usage)
     assert not preemption.may_stop(filler, other, bench.realm.usage), "never both ways"
@@ -549,3 +549,16 @@
     gang = bench.job(make_spec(frames=5, cards=4.0, vcpus=16.0))
     whole = {f"host-{number:02d}" for number in range(45, 50)}
     assert whole <= {offer.name for offer in bench.realm.offers("a", bench.now, gang)}
+
+
+def test_urgent_and_large_gangs_press_sooner(bench: Bench) -> None:
+    """The largest must begin within the longest wait, however many small ones come."""
+    jobs = [
+        bench.job(make_spec(number, frames=frames, urgency=urgency))
+        for number, (frames, urgency) in enumerate(
+            [(16, "urgent"), (1, "urgent"), (8, "normal"), (1, "normal")], start=1
+        )
+    ]
+    patience = [bench.realm.patience_s(job) for job in jobs]
+    assert patience == sorted(patience) and patience[-1] < 240.0
+    assert patience[0] < 0.1 * 240.0 and patience[2] < 0.3 * 240.0
--- a/topazhold/core/ledger.py
+++ b/topazhold/core/ledger.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from random import Random
 
 from topazhold.core import gangs, quota, records, renting
@@ -22,9 +23,9 @@
 
 #: Attempts are numbered within a reign, so no number is ever used twice.
 ATTEMPTS_PER_REIGN = 1 << 24
-#: A gang is pressing once it has waited for this share of its class's longest aim
-#: for a start, or of the longest wait that the operators allow.
-PRESSING_SHARE = 0.5
+#: A gang of one presses once it has waited for this share of its class's longest aim
+#: for a start, or of the longest wait that the operators allow; by urgency.
+PATIENCE = (0.1, 0.2, 0.8, 1.0)
 #: Gone machines, and jobs that are over, kept against late news of them.
 MOST_REMEMBERED = 4000
 
@@ -107,6 +108,12 @@
             self._guaranteed_stale = True
             self.last_arrival = max(self.last_arrival, job.arrived)
 
+    def patience_s(self, job: Job) -> float:
+        """How long a gang waits like any other. The larger it is, the more seldom its
+        room comes free by chance, and the sooner it has to press."""
+        longest = self.aimed_wait_s.get(job.spec.lane, self.longest_wait_s)
+        return PATIENCE[job.level] * longest / math.sqrt(job.spec.frames)
+
     def forget_if_over(self, job: Job) -> None:
         if job.state is not JobState.LIVE and not job.runs:
             self.jobs.pop(job.id, None)
--- a/topazhold/core/stopping.py
+++ b/topazhold/core/stopping.py
@@ -7,7 +7,7 @@
 
 from topazhold.core import gangs
 from topazhold.core.jobs import UNSENT, GangState, Job, JobState, Run, RunState
-from topazhold.core.ledger import PRESSING_SHARE, UP
+from topazhold.core.ledger import UP
 from topazhold.core.machines import Machine, MachineState
 from topazhold.core.ordering import Ordering
 
@@ -83,8 +83,7 @@
         before = job.gang_state
         if before is GangState.WAITING and not job.pressing:
             # For good: else the work that gave way to it would stop it in turn.
-            longest = self.aimed_wait_s.get(job.spec.lane, self.longest_wait_s)
-            job.pressing = now - job.arrived > PRESSING_SHARE * longest
+            job.pressing = now - job.arrived > self.patience_s(job)
         why = gangs.step(job, self.clock, now)
         if job.gang_state is GangState.RUNNING and before is GangState.STARTING:
             log.info("gang %s runs, %.1f s after it came", job.id, now - job.arrived)
