--- a/tests/test_realm.py
+++ b/tests/test_realm.py
@@ -562,3 +562,14 @@
     patience = [bench.realm.patience_s(job) for job in jobs]
     assert patience == sorted(patience) and patience[-1] < 240.0
     assert patience[0] < 0.1 * 240.0 and patience[2] < 0.3 * 240.0
+
+
+def test_class_that_is_to_start_sooner_goes_first(bench: Bench) -> None:
+    bench.realm.aimed_waits = {"quick": (10.0, 50.0), "train": (60.0, 180.0)}
+    slow = bench.job(make_spec(1, frames=1))
+    bench.now += 5.0
+    quick = bench.job(make_spec(2, frames=1, lane="quick"))
+    assert preemption.turn(quick) < preemption.turn(slow)
+    bench.now += bench.realm.patience_s(slow)
+    bench.realm.tick(bench.now)
+    assert preemption.turn(slow) < preemption.turn(quick), "until it presses"
--- a/topazhold/control/booking.py
+++ b/topazhold/control/booking.py
@@ -23,9 +23,9 @@
 log = logging.getLogger(__name__)
 
 #: Gangs searched for in one round; the rest wait their turn.
-MOST_SEARCHED = 8
+MOST_SEARCHED = 16
 #: Holds in one value.
-MOST_HOLDS = 24
+MOST_HOLDS = 48
 #: A new group must be better by this many report periods to replace a hold.
 BETTER_REPORTS = 1.0
 
--- a/topazhold/control/node.py
+++ b/topazhold/control/node.py
@@ -25,7 +25,7 @@
 from topazhold.control.users import Users, users_request
 from topazhold.core import records
 from topazhold.core.holds import HoldBook
-from topazhold.core.jobs import Job
+from topazhold.core.jobs import NO_AIM, Job
 from topazhold.core.leadership import CROWN_KEY, QUEEN_KEY, Leadership, Role, read_value
 from topazhold.core.preemption import turn
 from topazhold.io.http import Answer, Client, Request, Server
@@ -208,6 +208,8 @@
         if self.reign is not None:
             await self.reign.accepted(job)
         if job.gang:
+            waits = self.settings.cluster.aimed_waits()
+            job.aimed_wait_s = waits.get(job.spec.lane, (NO_AIM, NO_AIM))[0]
             await self.booking.accepted(job, await curio.clock())
 
     def _running_count(self, job_id: str) -> int:
--- a/topazhold/core/holds.py
+++ b/topazhold/core/holds.py
@@ -16,10 +16,9 @@
 HOLD_PREFIX = "hold/"
 LEVELS = len(wire.URGENCIES)
 
-#: Whose turn it is: outside its guarantee, urgency, time of submission once it presses;
-#: smaller goes first.
+#: Whose turn it is: outside its guarantee, urgency, then time of submission of those
+#: that press, or LATER and the wait that its class aims at; smaller goes first.
 Turn = tuple[int, int, float]
-#: Stands for the time of submission of those that don't press.
 LATER = 1e12
 
 
--- a/topazhold/core/jobs.py
+++ b/topazhold/core/jobs.py
@@ -13,6 +13,9 @@
 #: Tasks whose done marks share one value of the state service.
 PART = 4096
 
+#: The wait aimed at for a class that has no aim for its start.
+NO_AIM = 1e9
+
 Room = tuple[float, float, float]
 
 
@@ -158,6 +161,7 @@
         self.need: Room = (spec.vcpus, spec.cards, spec.ram_gb)
         self.level = wire.URGENCIES.index(spec.urgency)
         self.within = False
+        self.aimed_wait_s = NO_AIM
         self.pressing = False  # a gang that has waited long
         self.gathers_until = -1e9  # work gives way to it, on all its machines
         self.runs: dict[int, Run] = {}
--- a/topazhold/core/ledger.py
+++ b/topazhold/core/ledger.py
@@ -86,11 +86,7 @@
         self._wanting_since: dict[str, float] = {}
         self._claims: dict[str, tuple[float, float]] = {}
         self.longest_wait_s = operator.longest_wait_s
-        self.aimed_wait_s: dict[str, float] = {}
-        for aim in cluster.objectives:
-            if aim.kind == "wait" and aim.lane is not None and aim.within_s is not None:
-                longest = max(self.aimed_wait_s.get(aim.lane, 0.0), aim.within_s)
-                self.aimed_wait_s[aim.lane] = min(longest, self.longest_wait_s)
+        self.aimed_waits = cluster.aimed_waits()
         self.quick_lanes = {aim.lane for aim in cluster.objectives if aim.kind == "wait"}
         self.reserve_share = operator.reserve_share
         self._free_plain = 0.0
@@ -105,13 +101,16 @@
         """A job is live: accepted just now, or found by a new queen."""
         if job.id not in self.jobs and job.id not in self._over:
             self.jobs[job.id] = job
+            if job.spec.lane in self.aimed_waits:
+                job.aimed_wait_s = self.aimed_waits[job.spec.lane][0]
             self._guaranteed_stale = True
             self.last_arrival = max(self.last_arrival, job.arrived)
 
     def patience_s(self, job: Job) -> float:
         """How long a gang waits like any other. The larger it is, the more seldom its
         room comes free by chance, and the sooner it has to press."""
-        longest = self.aimed_wait_s.get(job.spec.lane, self.longest_wait_s)
+        _, longest = self.aimed_waits.get(job.spec.lane, (0.0, self.longest_wait_s))
+        longest = min(longest, self.longest_wait_s)
         return PATIENCE[job.level] * longest / math.sqrt(job.spec.frames)
 
     def forget_if_over(self, job: Job) -> None:
--- a/topazhold/core/preemption.py
+++ b/topazhold/core/preemption.py
@@ -19,12 +19,12 @@
 
 
 def turn(job: Job) -> Turn:
-    """Whose holds bind whom: those of equals bind each other, first come first served.
+    """Whose holds bind whom: those of one class bind each other, first come first served.
 
-    Small gangs find room sooner than large ones, and it serves most of them best to
-    take it. A large one that has waited long goes before them, by its submission.
+    A class that is to start within ten seconds goes before one that has a minute.
+    A gang that has waited long goes before them all, by its submission.
     """
-    return (*rank(job), job.submitted if job.pressing else LATER)
+    return (*rank(job), job.submitted if job.pressing else LATER + job.aimed_wait_s)
 
 
 def behind(first: tuple[int, int], victim: Job) -> bool:
--- a/topazhold/settings.py
+++ b/topazhold/settings.py
@@ -71,6 +71,16 @@
     objectives: list[Objective] = []
 
 
+    def aimed_waits(self) -> dict[str, tuple[float, float]]:
+        """Shortest and longest aim for a start, of each class that has any."""
+        found: dict[str, tuple[float, float]] = {}
+        for aim in self.objectives:
+            if aim.kind == "wait" and aim.lane is not None and aim.within_s is not None:
+                short, long = found.get(aim.lane, (aim.within_s, aim.within_s))
+                found[aim.lane] = (min(short, aim.within_s), max(long, aim.within_s))
+        return found
+
+
 class Settings(msgspec.Struct):
     """What the platform hands over, as far as it is used; the rest is ignored."""
 
