--- a/topazhold/control/reign.py
+++ b/topazhold/control/reign.py
@@ -100,6 +100,7 @@
         self._striking: set[str] = set()
         self._directs: dict[str, Client] = {}
         self._harvest: dict[str, int] = {}
+        self._listed = False  # a machine list has come
         self._deposed = curio.Event()
 
     def token(self) -> str:
@@ -573,16 +574,19 @@
                 log.debug("machine list: %s", exc)
             else:
                 self.realm.listed(boxes, asked, await curio.clock())
+                self._listed = True
             await curio.sleep(max(self._report_s, 0.5 * self.realm.lag_s))
 
     async def _rent_loop(self) -> None:
-        await curio.sleep(self._report_s)
+        while not self._listed:
+            # A new queen knows too little of what she has.
+            await curio.sleep(self._retry_s)
         while True:
             now = await curio.clock()
-            if self._assured(now):
-                for ask in self.realm.rent(now):
-                    await self._rent(ask)
-            await curio.sleep(self._report_s)
+            asks = self.realm.rent(now) if self._assured(now) else []
+            for ask in asks:
+                await self._rent(ask)
+            await curio.sleep(self._retry_s if asks else 0.5 * self._report_s)
 
     async def _rent(self, ask: Ask) -> None:
         self._asks += 1
