--- a/tests/test_broken_variants.py
+++ b/tests/test_broken_variants.py
@@ -8,6 +8,7 @@
 import pytest
 
 from tests.test_random_days import play
+from tests.world import LARGEST
 from topazhold.control import users as users_module
 from topazhold.core import placing, quota, records, recovery
 from topazhold.core.jobs import Job
@@ -72,6 +73,49 @@
     patch.setattr(records, "over_stage", lambda data: wire.ABORTED)
 
 
+def no_answer_for_one(patch: pytest.MonkeyPatch) -> None:
+    """The questions about a few jobs are never answered, all others are."""
+    state = users_module.Users._state
+
+    async def hidden(self: Any, job_id: str) -> Answer | None:
+        return Answer(503) if job_id.endswith("7") else await state(self, job_id)
+
+    patch.setattr(users_module.Users, "_state", hidden)
+
+
+def starve(patch: pytest.MonkeyPatch, left_out: Callable[[Job], bool]) -> None:
+    waiting = Realm._waiting_jobs
+    patch.setattr(
+        Realm, "_waiting_jobs",
+        lambda self, now: [job for job in waiting(self, now) if not left_out(job)],
+    )  # fmt: skip
+
+
+def starve_a_team(patch: pytest.MonkeyPatch) -> None:
+    starve(patch, lambda job: job.spec.crew == "blue")
+
+
+def starve_a_class(patch: pytest.MonkeyPatch) -> None:
+    starve(patch, lambda job: job.spec.lane == "fill")
+
+
+def starve_the_largest(patch: pytest.MonkeyPatch) -> None:
+    starve(patch, lambda job: job.gang and job.spec.frames == LARGEST)
+
+
+def believe_late_copies(patch: pytest.MonkeyPatch) -> None:
+    """An older report counts like a new one."""
+    report = Realm.report
+
+    def heard(self: Realm, rep: Any, *args: Any, **kwargs: Any) -> Any:
+        machine = self.machines.get(rep.box)
+        if machine is not None:
+            machine.tally = -1
+        return report(self, rep, *args, **kwargs)
+
+    patch.setattr(Realm, "report", heard)
+
+
 VARIANTS: list[tuple[Patch, str, list[str]]] = [
     (forget_intents, "ran_twice", ["crash_queen", "hang", "machine_cut"]),
     (trust_silence, "ran_twice", ["hang", "machine_cut", "zones_cut"]),
@@ -82,6 +126,14 @@
     (early_done, "not_done", []),
     (invent, "invented", []),
     (done_turns_aborted, "went_back", []),
+    (believe_late_copies, "ran_twice", ["late_copies"]),
+]
+#: What shows only at a day's end.
+SLOW_VARIANTS: list[tuple[Patch, str]] = [
+    (no_answer_for_one, "forgotten"),
+    (starve_a_team, "starved"),
+    (starve_a_class, "starved"),
+    (starve_the_largest, "starved"),
 ]
 
 
@@ -99,6 +151,17 @@
     pytest.fail(f"the checker missed a variant that breaks {rule}")
 
 
+@pytest.mark.parametrize(
+    ("patch", "rule"), SLOW_VARIANTS, ids=[patch.__name__ for patch, _ in SLOW_VARIANTS]
+)
+def test_checker_catches_at_the_days_end(
+    patch: Patch, rule: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    patch(monkeypatch)
+    world = play(101, [], monkeypatch, jobs=25, trouble_s=20.0, calm_s=130.0)
+    assert rule in world.broken
+
+
 def test_variants_cover_the_rules() -> None:
     assert {rule for _, rule, _ in VARIANTS} == {
         "ran_twice", "quota", "wrong_place", "ran_cancelled", "forgotten", "invented",
