--- a/tests/test_realm.py
+++ b/tests/test_realm.py
@@ -8,7 +8,7 @@
 from topazhold.core.machines import MachineState
 from topazhold.core.records import Intents
 from topazhold.core.renting import counted
-from topazhold.wire.messages import FrameReport, ListedBox
+from topazhold.wire.messages import FrameReport, ListedBox, Report
 
 
 def launched(calls: list) -> list[str]:
@@ -55,8 +55,6 @@
     (run,) = bench.plan()
     bench.report(run.machine, carry_out=False)
     bench.tallies[run.machine] += 1
-    from topazhold.wire.messages import Report
-
     rep = Report(run.machine, "x:1", "b1", "a", False, 1, bench.tallies[run.machine], 5, [])
     bench.realm.report(rep, True, bench.now)
     assert run.state is RunState.ORDERED
@@ -573,3 +571,14 @@
     bench.now += bench.realm.patience_s(slow)
     bench.realm.tick(bench.now)
     assert preemption.turn(slow) < preemption.turn(quick), "until it presses"
+
+
+def test_no_launch_from_a_queen_whose_grant_may_have_passed_on(bench: Bench) -> None:
+    bench.job(make_spec(shape="batch", frames=1))
+    (run,) = bench.plan()
+    bench.tallies[run.machine] += 1
+    rep = Report(run.machine, "x:1", "b1", "a", False, 1, bench.tallies[run.machine], 5, [])
+    machine = bench.realm.report(rep, False, bench.now)
+    assert machine is not None
+    assert bench.realm.answer(machine, rep, bench.now, launches=False) == []
+    assert launched(bench.realm.answer(machine, rep, bench.now)) == ["wk-000001/0"]
--- a/tests/test_users.py
+++ b/tests/test_users.py
@@ -177,3 +177,25 @@
         assert "wk-000001" not in node.reign.realm.jobs
 
     scene(monkeypatch, act)
+
+
+def test_an_odd_record_hides_no_other_job(monkeypatch: pytest.MonkeyPatch) -> None:
+    """It kept each new queen from taking over, and every job from running."""
+
+    async def main(clock: VirtualTime) -> None:
+        world = World(clock, 1)
+        world.state.data["live/wk-000077"] = ("nonsense", 5, None)
+        world.state.data["live/wk-000078"] = ({"spec": {"id": "wk-000078"}, "at": "x"}, 6, None)
+        world.state.data["on/0001"] = ({"boxes": {"host-000099": [1]}}, 7, None)
+        await start_node(world, NAMES[0])
+        await curio.sleep(2.0)
+        node = world.nodes[NAMES[0]]
+        assert node.reign is not None and node.reign.loaded
+        assert (await submit(node)).status == 201
+        for odd in ("wk-000077", "wk-000078"):
+            answer = await ask(node, "GET", f"/api/jobs/{odd}")
+            assert answer.status == 200 and answer.body["stage"] == "pending"
+        assert sorted(node.reign.realm.jobs) == ["wk-000001"]
+        assert "host-000099" in node.reign.realm._gone, "only a release proves what is on it"
+
+    run_virtual(main, monkeypatch)
