A hold changes only for a clearly better group

A new group must now be better by a quarter, and a lapsed hold that is still the best is booked anew. A take-over without machine types asks more often.

--- /dev/null
+++ b/tests/test_booking.py
@@ -0,0 +1,85 @@
+"""A controller's holds: kept, changed and booked anew."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import Any
+
+from tests.conftest import make_spec
+from tests.standins import settings_for
+from topazhold.control.booking import Booking, View
+from topazhold.core.holds import HoldBook
+from topazhold.core.jobs import Job
+from topazhold.core.search import Offer
+from topazhold.settings import Operator
+
+ROOM = (16.0, 4.0, 64.0)
+
+
+def offer(name: str, delay: float) -> Offer:
+    return Offer(name, "a", "b1", False, frozenset({"img-0"}), [(delay, ROOM)], [], 2.0)
+
+
+def view(**delays: float) -> View:
+    found = View()
+    found.directory = [(name, "a") for name in delays]
+    found.caches = {"a": [offer(name, delay) for name, delay in delays.items()]}
+    return found
+
+
+class Clock:
+    """The time of day, set by hand."""
+
+    def __init__(self, monkeypatch: Any) -> None:
+        self.now = 1e9
+        monkeypatch.setattr("time.time", lambda: self.now)
+
+
+def booking(clock: Clock) -> Booking:
+    settings = settings_for("hive-0", "a", [])
+    found = Booking(settings, Operator(), None, HoldBook("hive-0"), Random(1))  # type: ignore[arg-type]
+    job = Job(make_spec(frames=1, cards=4.0), 0.0, clock.now, "hive-0")
+    from topazhold.control.booking import Wanted
+    from topazhold.core.preemption import turn
+
+    found.wanted[job.id] = Wanted(job.spec, turn(job), 0.0)
+    return found
+
+
+def held(found: Booking) -> set[str]:
+    return set(found.mine["wk-000001"].slots)
+
+
+def test_hold_changes_only_for_a_clearly_better_group(monkeypatch: Any) -> None:
+    """Gangs of eight changed machines every few seconds and never had them all."""
+    clock = Clock(monkeypatch)
+    found = booking(clock)
+    found.round(view(m1=100.0), 0.0)
+    assert held(found) == {"m1"}
+    clock.now += 10.0
+    found.round(view(m1=100.0, m2=85.0), 10.0)
+    assert held(found) == {"m1"}
+    found.round(view(m1=100.0, m2=60.0), 11.0)
+    assert held(found) == {"m2"}
+
+
+def test_held_machine_that_frees_late_loses_to_one_that_is_free(monkeypatch: Any) -> None:
+    clock = Clock(monkeypatch)
+    found = booking(clock)
+    found.round(view(m1=10.0), 0.0)
+    clock.now += 10.0
+    found.round(view(m1=90.0, m2=20.0), 10.0)
+    assert held(found) == {"m2"}
+
+
+def test_lapsed_hold_is_booked_anew_only_if_it_is_still_the_best(monkeypatch: Any) -> None:
+    clock = Clock(monkeypatch)
+    found = booking(clock)
+    found.round(view(m1=100.0), 0.0)
+    first = found.mine["wk-000001"].serial
+    clock.now += 61.0
+    found.round(view(m1=50.0, m2=49.0), 61.0)
+    assert held(found) == {"m1"} and found.mine["wk-000001"].serial > first
+    clock.now += 61.0
+    found.round(view(), 122.0)
+    assert found.mine == {}, "nothing is known of it any more"
--- a/topazhold/control/booking.py
+++ b/topazhold/control/booking.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import time
 from collections.abc import Sequence
 from random import Random
@@ -26,8 +27,10 @@
 MOST_SEARCHED = 16
 #: Holds in one value.
 MOST_HOLDS = 48
-#: A new group must be better by this many report periods to replace a hold.
+#: A new group must be better by this many report periods, and by this share of the
+#: held group's score, to replace a hold.
 BETTER_REPORTS = 1.0
+BETTER_SHARE = 0.25
 
 
 class Wanted:
@@ -130,8 +133,7 @@
         """One round of searches; changes `mine` where a better group turned up."""
         wall = time.time()
         for job, hold in list(self.mine.items()):
-            late = wall - hold.made > self._lapse_s
-            if job not in self.wanted or late:
+            if job not in self.wanted or wall - hold.made > 2 * self._lapse_s:
                 del self.mine[job]
         # Others' holds as they were read, our own as they are to be written.
         draft = HoldBook(self.node)
@@ -147,20 +149,34 @@
             if old is None and len(self.mine) >= MOST_HOLDS:
                 continue
             group = self._search(wanted, view, draft)
-            if group is None:
-                continue
-            margin = BETTER_REPORTS * self._report_s
             if old is not None:
-                # Estimates are often wrong: the held group is judged by what is
-                # known now, not by what was hoped when it was booked. Else a
-                # hold on machines that free late is kept until it lapses.
-                taken = draft.taken(job, wanted.turn, lambda hold: True)
-                present = score_held(
-                    old.slots, view.caches, wanted.spec, wanted.rank, taken, self.rules
-                )
-                if group.score > present - margin:
-                    continue
-            self._hold(wanted, group, wall)
+                group = self._better(wanted, old, group, view, draft, wall)
+            if group is not None:
+                self._hold(wanted, group, wall)
+
+    def _better(
+        self, wanted: Wanted, old: Hold, group: Group | None, view: View, draft: HoldBook,
+        wall: float,
+    ) -> Group | None:  # fmt: skip
+        """The group to book instead of the held one, if any.
+
+        Estimates are often wrong: the held group is judged by what is known now,
+        not by what was hoped when it was booked. A new one must be clearly
+        better: a large gang that changed all its machines for a few seconds lost
+        those that had come free for it, again and again.
+        """
+        taken = draft.taken(old.job, wanted.turn, lambda hold: True)
+        present = score_held(old.slots, view.caches, wanted.spec, wanted.rank, taken, self.rules)
+        late = wall - old.made > self._lapse_s
+        if math.isinf(present):
+            if late:
+                del self.mine[old.job]
+            return group
+        margin = max(BETTER_REPORTS * self._report_s, BETTER_SHARE * present)
+        if group is not None and group.score < present - margin:
+            return group
+        # Lapsed, and found to be the best all the same: booked anew.
+        return Group(present, present, present, old.slots) if late else None
 
     def _hold(self, wanted: Wanted, group: Group, wall: float) -> None:
         spec = wanted.spec
--- a/topazhold/control/reign.py
+++ b/topazhold/control/reign.py
@@ -156,7 +156,7 @@
     async def _load(self) -> None:
         """Read holds, jobs and intents before any decision."""
         while not self._breeds:
-            await curio.sleep(self._retry_s)
+            await curio.sleep(0.1 * self._retry_s)
         realm = self.realm
         entries, self._harvest[HOLD_PREFIX] = await self._store.entries(HOLD_PREFIX, LEASES)
         realm.book.replace(
