--- a/tests/test_realm.py
+++ b/tests/test_realm.py
@@ -582,3 +582,17 @@
     assert machine is not None
     assert bench.realm.answer(machine, rep, bench.now, launches=False) == []
     assert launched(bench.realm.answer(machine, rep, bench.now)) == ["wk-000001/0"]
+
+
+def test_cache_names_held_machines_in_any_case() -> None:
+    """A held group could not be judged, and was given up for one that frees later."""
+    bench = Bench(machines=0)
+    for number in range(30):
+        bench.report(f"host-{number:02d}")
+    job = bench.job(make_spec(frames=1))
+    last = bench.realm.offers("a", bench.now)[-1].name
+    others = {offer.name for offer in bench.realm.offers("a", bench.now)}
+    hidden = next(name for name in bench.realm.machines if name not in others)
+    bench.hold(job, {hidden: 1})
+    names = [offer.name for offer in bench.realm.offers("a", bench.now)]
+    assert names[19] == last and names[20:] == [hidden]
--- a/topazhold/core/realm.py
+++ b/topazhold/core/realm.py
@@ -59,17 +59,24 @@
         in a full zone they are those where a card comes free, not a machine. So
         the cache is as long as the largest waiting gang needs, and every other
         place in it goes to the machines that are soonest free for its tasks.
+
+        Held machines are named in any case: a held group with a machine that is
+        not known could not be judged, and was given up for a worse one.
         """
         found = self._all_offers(zone, now)
+        held = {name for hold in self.book.all() for name in hold.slots}
         if largest is None:
-            return found[:CACHE_LENGTH]
+            return found[:CACHE_LENGTH] + [
+                offer for offer in found[CACHE_LENGTH:] if offer.name in held
+            ]
         length = max(CACHE_LENGTH, math.ceil(self.alpha * largest.spec.frames))
         rank = preemption.rank(largest)
         fitting = sorted(
             found, key=lambda offer: (offer.ready_for(rank, largest.need), sooner(offer))
         )
         both = [offer for pair in zip(fitting, found, strict=True) for offer in pair]
-        return list(dict.fromkeys(both))[:length]
+        order = list(dict.fromkeys(both))
+        return order[:length] + [offer for offer in order[length:] if offer.name in held]
 
     def _all_offers(self, zone: str, now: float) -> list[Offer]:
         """Every machine's offer; searches and summaries of about the same time share them."""
