A shelf that took machines over is written along until it stands

Found by reading: a full shelf gives machines to a new one; had the transaction with both failed and the next one named the old shelf alone, the intents of the machines that left would have stood nowhere, and a new queen would have placed their tasks twice.

--- a/tests/test_shelves.py
+++ b/tests/test_shelves.py
@@ -80,3 +80,22 @@
     found, odd = records.read_on({"boxes": {"host-0": "nonsense", "host-1": [1, "a", 0, "b", []]}})
     assert [each.machine for each in found] == ["host-1"] and odd == ["host-0"]
     assert records.read_on("nonsense") == ([], [])
+
+
+def test_intents_of_machines_that_changed_shelves_are_never_nowhere() -> None:
+    """The transaction with both shelves failed, and the next one named the old one alone."""
+    bench = fleet(32)
+    fill(bench, 16)
+    shelves = Shelves(7000)
+    machines = bench.realm.machines
+    first = shelves.of(machines["host-000"], machines)
+    for machine in machines.values():
+        shelves.of(machine, machines)
+    values = shelves.values({first}, machines, "t")
+    assert len(values) > 1
+    wanted = {name for _, value in values.values() for name in value["boxes"]}
+    again = shelves.values({first}, machines, "t")
+    assert {name for _, value in again.values() for name in value["boxes"]} == wanted
+    for name in again:
+        shelves.marked(name, 9)
+    assert list(shelves.values({first}, machines, "t")) == [first.name]
--- a/topazhold/core/ledger.py
+++ b/topazhold/core/ledger.py
@@ -87,7 +87,6 @@
         self._claims: dict[str, tuple[float, float]] = {}
         self.longest_wait_s = operator.longest_wait_s
         self.aimed_waits = cluster.aimed_waits()
-        self.quick_lanes = {aim.lane for aim in cluster.objectives if aim.kind == "wait"}
         self.reserve_share = operator.reserve_share
         self._free_plain = 0.0
         # Of the round of planning that is under way:
--- a/topazhold/core/placing.py
+++ b/topazhold/core/placing.py
@@ -347,7 +347,7 @@
         Also within its guarantee, if it may use spot machines: ordinary ones are all
         that those have who may not.
         """
-        if not self.quick_lanes or job.spec.lane in self.quick_lanes:
+        if not self.aimed_waits or job.spec.lane in self.aimed_waits:
             return False
         if job.within and not job.spec.drones:
             return False
--- a/topazhold/core/records.py
+++ b/topazhold/core/records.py
@@ -104,9 +104,10 @@
     """A shelf's intents: everything that may be, or may come to be, on its machines."""
     boxes = {}
     for machine in machines:
-        if machine.runs and machine.breed is not None:
+        if machine.runs:
+            breed = machine.breed.label if machine.breed is not None else ""
             boxes[machine.name] = [
-                machine.flight, machine.zone, machine.spot, machine.breed.label,
+                machine.flight, machine.zone, machine.spot, breed,
                 [[run.job.id, run.index, run.attempt] for run in machine.runs.values()],
             ]  # fmt: skip
     return {"by": token, "boxes": boxes}
--- a/topazhold/core/shelves.py
+++ b/topazhold/core/shelves.py
@@ -36,6 +36,7 @@
         self._limit = limit  # size of a value
         self._shelves: dict[str, Shelf] = {}
         self._of: dict[str, Shelf] = {}
+        self._unwritten: set[Shelf] = set()  # took machines over, not written since
         self._last = 0
 
     def found(self, name: str, mark: int, machines: Iterable[str]) -> None:
@@ -88,13 +89,20 @@
         shelf = self._shelves.get(name)
         if shelf is not None:
             shelf.mark = mark
+            if mark:
+                self._unwritten.discard(shelf)
 
     def values(
         self, shelves: Iterable[Shelf], machines: Mapping[str, Machine], token: str
     ) -> dict[str, tuple[int, Any]]:
-        """Mark and new value of each shelf; one that is too full gives machines away."""
+        """Mark and new value of each shelf; one that is too full gives machines away.
+
+        A shelf that took machines over goes along until it is written: if a
+        transaction with both failed and the next one had the old shelf alone,
+        the intents of the machines that left it would be nowhere.
+        """
         found: dict[str, tuple[int, Any]] = {}
-        waiting = sorted(shelves, key=lambda shelf: shelf.name)
+        waiting = sorted({*shelves, *self._unwritten}, key=lambda shelf: shelf.name)
         while waiting:
             shelf = waiting.pop(0)
             present = sorted(name for name in shelf.machines if name in machines)
@@ -104,6 +112,7 @@
                 other = self._new()
                 for name in present[len(present) // 2:]:
                     self._put(name, other)
+                self._unwritten.add(other)
                 waiting += [shelf, other]
                 continue
             found[shelf.name] = (shelf.mark, value)
