--- a/tests/test_realm.py
+++ b/tests/test_realm.py
@@ -8,7 +8,7 @@
 from topazhold.core.machines import MachineState
 from topazhold.core.records import Intents
 from topazhold.core.renting import counted
-from topazhold.wire.messages import FrameReport, ListedBox
+from topazhold.wire.messages import FrameReport, ListedBox, Report
 
 
 def launched(calls: list) -> list[str]:
@@ -55,8 +55,6 @@
     (run,) = bench.plan()
     bench.report(run.machine, carry_out=False)
     bench.tallies[run.machine] += 1
-    from topazhold.wire.messages import Report
-
     rep = Report(run.machine, "x:1", "b1", "a", False, 1, bench.tallies[run.machine], 5, [])
     bench.realm.report(rep, True, bench.now)
     assert run.state is RunState.ORDERED
@@ -520,7 +518,7 @@
     assert filler.within and gang.within and not other.within
     assert preemption.rank(other) > preemption.rank(filler)
     assert not preemption.may_stop(other, filler, bench.realm.usage)
-    bench.now += 0.3 * 240.0 + 1.0
+    bench.now += bench.realm.patience_s(other) + 1.0
     bench.realm.tick(bench.now)
     assert other.pressing and preemption.may_stop(other, filler, bench.realm.usage)
     assert not preemption.may_stop(filler, other, bench.realm.usage), "never both ways"
@@ -549,3 +547,52 @@
     gang = bench.job(make_spec(frames=5, cards=4.0, vcpus=16.0))
     whole = {f"host-{number:02d}" for number in range(45, 50)}
     assert whole <= {offer.name for offer in bench.realm.offers("a", bench.now, gang)}
+
+
+def test_urgent_and_large_gangs_press_sooner(bench: Bench) -> None:
+    """The largest must begin within the longest wait, however many small ones come."""
+    jobs = [
+        bench.job(make_spec(number, frames=frames, urgency=urgency))
+        for number, (frames, urgency) in enumerate(
+            [(16, "urgent"), (1, "urgent"), (8, "normal"), (1, "normal")], start=1
+        )
+    ]
+    patience = [bench.realm.patience_s(job) for job in jobs]
+    assert patience == sorted(patience) and patience[-1] < 240.0
+    assert patience[0] < 0.1 * 240.0 and patience[2] < 0.3 * 240.0
+
+
+def test_class_that_is_to_start_sooner_goes_first(bench: Bench) -> None:
+    bench.realm.aimed_waits = {"quick": (10.0, 50.0), "train": (60.0, 180.0)}
+    slow = bench.job(make_spec(1, frames=1))
+    bench.now += 5.0
+    quick = bench.job(make_spec(2, frames=1, lane="quick"))
+    assert preemption.turn(quick) < preemption.turn(slow)
+    bench.now += bench.realm.patience_s(slow)
+    bench.realm.tick(bench.now)
+    assert preemption.turn(slow) < preemption.turn(quick), "until it presses"
+
+
+def test_no_launch_from_a_queen_whose_grant_may_have_passed_on(bench: Bench) -> None:
+    bench.job(make_spec(shape="batch", frames=1))
+    (run,) = bench.plan()
+    bench.tallies[run.machine] += 1
+    rep = Report(run.machine, "x:1", "b1", "a", False, 1, bench.tallies[run.machine], 5, [])
+    machine = bench.realm.report(rep, False, bench.now)
+    assert machine is not None
+    assert bench.realm.answer(machine, rep, bench.now, launches=False) == []
+    assert launched(bench.realm.answer(machine, rep, bench.now)) == ["wk-000001/0"]
+
+
+def test_cache_names_held_machines_in_any_case() -> None:
+    """A held group could not be judged, and was given up for one that frees later."""
+    bench = Bench(machines=0)
+    for number in range(30):
+        bench.report(f"host-{number:02d}")
+    job = bench.job(make_spec(frames=1))
+    last = bench.realm.offers("a", bench.now)[-1].name
+    others = {offer.name for offer in bench.realm.offers("a", bench.now)}
+    hidden = next(name for name in bench.realm.machines if name not in others)
+    bench.hold(job, {hidden: 1})
+    names = [offer.name for offer in bench.realm.offers("a", bench.now)]
+    assert names[19] == last and names[20:] == [hidden]
--- a/topazhold/core/ledger.py
+++ b/topazhold/core/ledger.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from random import Random
 
 from topazhold.core import gangs, quota, records, renting
@@ -22,9 +23,9 @@
 
 #: Attempts are numbered within a reign, so no number is ever used twice.
 ATTEMPTS_PER_REIGN = 1 << 24
-#: A gang is pressing once it has waited for this share of its class's longest aim
-#: for a start, or of the longest wait that the operators allow.
-PRESSING_SHARE = 0.3
+#: A gang of one presses once it has waited for this share of its class's longest aim
+#: for a start, or of the longest wait that the operators allow; by urgency.
+PATIENCE = (0.1, 0.2, 0.8, 1.0)
 #: Gone machines, and jobs that are over, kept against late news of them.
 MOST_REMEMBERED = 4000
 
@@ -85,12 +86,7 @@
         self._wanting_since: dict[str, float] = {}
         self._claims: dict[str, tuple[float, float]] = {}
         self.longest_wait_s = operator.longest_wait_s
-        self.aimed_wait_s: dict[str, float] = {}
-        for aim in cluster.objectives:
-            if aim.kind == "wait" and aim.lane is not None and aim.within_s is not None:
-                longest = max(self.aimed_wait_s.get(aim.lane, 0.0), aim.within_s)
-                self.aimed_wait_s[aim.lane] = min(longest, self.longest_wait_s)
-        self.quick_lanes = {aim.lane for aim in cluster.objectives if aim.kind == "wait"}
+        self.aimed_waits = cluster.aimed_waits()
         self.reserve_share = operator.reserve_share
         self._free_plain = 0.0
         # Of the round of planning that is under way:
@@ -104,9 +100,18 @@
         """A job is live: accepted just now, or found by a new queen."""
         if job.id not in self.jobs and job.id not in self._over:
             self.jobs[job.id] = job
+            if job.spec.lane in self.aimed_waits:
+                job.aimed_wait_s = self.aimed_waits[job.spec.lane][0]
             self._guaranteed_stale = True
             self.last_arrival = max(self.last_arrival, job.arrived)
 
+    def patience_s(self, job: Job) -> float:
+        """How long a gang waits like any other. The larger it is, the more seldom its
+        room comes free by chance, and the sooner it has to press."""
+        _, longest = self.aimed_waits.get(job.spec.lane, (0.0, self.longest_wait_s))
+        longest = min(longest, self.longest_wait_s)
+        return PATIENCE[job.level] * longest / math.sqrt(job.spec.frames)
+
     def forget_if_over(self, job: Job) -> None:
         if job.state is not JobState.LIVE and not job.runs:
             self.jobs.pop(job.id, None)
