--- a/topazhold/core/placing.py
+++ b/topazhold/core/placing.py
@@ -351,7 +351,9 @@
             return False
         if job.within and not job.spec.drones:
             return False
-        return now < self._due(job) - self.lease_s
+        # Its tasks seldom start all at once: half a run's time is left for that.
+        run_s = self.estimates.run_s(job.spec.lane, job.spec.forage_s)
+        return now < self._due(job) - self.lease_s - 0.5 * run_s
 
     def _array_zone(self, zones: dict[str, int], places: list[tuple[Machine, int]]) -> str:
         """The zone that the job is in already, or the roomiest."""
