A zone that comes back after a cut is neither deaf nor released

When it was back its first reports named the old crown, 92 s after the new queen's take-over, and thirty machines were taken for deaf at once; and as soon as most were heard the rest no longer counted as many silent at once, so ten were released with their tasks. The rule on the crown is gone (the one on sessions covers deaf machines), and a cut is remembered for 1.25 leases. Ruled out: the adrift controllers, which rightly kept their zone's busy workers.

--- a/tests/test_realm.py
+++ b/tests/test_realm.py
@@ -596,3 +596,34 @@
     bench.hold(job, {hidden: 1})
     names = [offer.name for offer in bench.realm.offers("a", bench.now)]
     assert names[19] == last and names[20:] == [hidden]
+
+
+def test_zone_that_comes_back_is_neither_deaf_nor_released() -> None:
+    """After a cut of minutes a zone's first reports named the old crown: all were taken
+    for deaf, and those that came a moment later were released as silent."""
+    bench = Bench(machines=0, crown=8)
+    names = [f"host-{number}" for number in range(8)]
+    intents = [
+        Intents(name, 1, "a", False, "b1", [("wk-000001", number, 77)])
+        for number, name in enumerate(names)
+    ]
+    job = Job(make_spec(shape="batch", frames=8), bench.now, 1e9, "hive-0")
+    recovery.take_over(bench.realm, [job], intents, bench.now)
+    for _ in range(40):
+        bench.now += 1.0
+        bench.realm.tick(bench.now)
+    for name in names[:6]:
+        bench.report(name, crown=7)
+        assert not bench.realm.machines[name].deaf
+    for _ in range(8):
+        bench.now += 1.0
+        for name in names[:6]:
+            bench.report(name)
+        bench.realm.tick(bench.now)
+    assert bench.realm.releases == {}
+    for _ in range(8):  # who stays away alone is given up in the end
+        bench.now += 1.0
+        for name in names[:6]:
+            bench.report(name)
+        bench.realm.tick(bench.now)
+    assert set(bench.realm.releases) == set(names[6:])
--- a/topazhold/core/ledger.py
+++ b/topazhold/core/ledger.py
@@ -94,6 +94,7 @@
         self._roomy: list[Machine] = []
         self._lower: dict[str, LowerWork] = {}
         self._least: Room = NO_ROOM
+        self._cut_seen: dict[str, float] = {}  # zones, by when many were last silent at once
         self._offers: dict[str, tuple[float, list[Offer]]] = {}
 
     def add_job(self, job: Job) -> None:
--- a/topazhold/core/observing.py
+++ b/topazhold/core/observing.py
@@ -83,7 +83,7 @@
         machine.endpoint = rep.endpoint
         synced = rep.crown == self.crown
         machine.hear(synced, now)
-        self._judge_hearing(machine, rep, direct, now)
+        self._judge_hearing(machine, rep, now)
         if not direct:
             machine.answered_at = now
             if not relayed:
@@ -111,7 +111,7 @@
         machine.flight = flight
         machine.flight_at = now
 
-    def _judge_hearing(self, machine: Machine, rep: Report, direct: bool, now: float) -> None:
+    def _judge_hearing(self, machine: Machine, rep: Report, now: float) -> None:
         """Whether answers reach the worker, as far as its reports show it."""
         crown_before, machine.crown = machine.crown, rep.crown
         heard = (
@@ -120,11 +120,6 @@
         )
         if heard and machine.hears_again():
             log.info("machine %s hears again", machine.name)
-        elif (
-            machine.state is MachineState.UNSYNCED and not direct
-            and now - max(machine.since, self.since) > 2 * self.lease_s
-        ):  # fmt: skip
-            self._deafen(machine, "it does not take up the crown", now)
 
     def _deafen(self, machine: Machine, why: str, now: float) -> None:
         """Answers don't reach the worker: no new work, no hold, no limit for it."""
--- a/topazhold/core/stopping.py
+++ b/topazhold/core/stopping.py
@@ -176,9 +176,11 @@
 
     def _mass_silence(self, zone: str, now: float) -> bool:
         """Many machines of a zone silent at once: a cut, which proves nothing."""
-        return self._mass(
-            zone, lambda machine: self.silent_s(machine, now) > 0.6 * self.lease_s
-        )
+        if self._mass(zone, lambda machine: self.silent_s(machine, now) > 0.6 * self.lease_s):
+            self._cut_seen[zone] = now
+        # When the cut ends they come back one by one. The last ones were released
+        # as lone silent machines, with all their tasks, once most were back.
+        return now - self._cut_seen.get(zone, -1e9) < 1.25 * self.lease_s
 
     def _mass(self, zone: str, trouble: Callable[[Machine], bool]) -> bool:
         """Whether many machines of a zone share a trouble: then it is the way to them."""
