--- a/topazhold/core/ledger.py
+++ b/topazhold/core/ledger.py
@@ -29,6 +29,9 @@
 #: Gone machines, and jobs that are over, kept against late news of them.
 MOST_REMEMBERED = 4000
 
+#: Cards are kept free for classes that are to start within so many report periods.
+RESERVE_REPORTS = 4.0
+
 NO_ROOM: Room = (0.0, 0.0, 0.0)
 
 #: For each job of a team with tasks on machines: urgency, rank, CPUs, cards.
@@ -87,6 +90,9 @@
         self._claims: dict[str, tuple[float, float]] = {}
         self.longest_wait_s = operator.longest_wait_s
         self.aimed_waits = cluster.aimed_waits()
+        shortest = min((short for short, _ in self.aimed_waits.values()), default=math.inf)
+        # Where work that is stopped has left well before, nothing need be kept free.
+        self.keeps_reserve = shortest < RESERVE_REPORTS * self.report_s
         self.reserve_share = operator.reserve_share
         self._free_plain = 0.0
         # Of the round of planning that is under way:
--- a/topazhold/core/placing.py
+++ b/topazhold/core/placing.py
@@ -347,7 +347,7 @@
         Also within its guarantee, if it may use spot machines: ordinary ones are all
         that those have who may not.
         """
-        if not self.aimed_waits or job.spec.lane in self.aimed_waits:
+        if not self.keeps_reserve or job.spec.lane in self.aimed_waits:
             return False
         if job.within and not job.spec.drones:
             return False
