A new queen rents only what can't be on its way already

She now waits for the list's lag, but at the very first start, and asks once a report period unless a request's limit cut the wish.

--- a/topazhold/control/reign.py
+++ b/topazhold/control/reign.py
@@ -29,7 +29,7 @@
 from topazhold.core.machines import Machine
 from topazhold.core.preemption import turn
 from topazhold.core.realm import Realm
-from topazhold.core.renting import Ask
+from topazhold.core.renting import MOST_RENTED, Ask
 from topazhold.core.search import cut_summary
 from topazhold.core.shelves import Shelf, Shelves
 from topazhold.io.http import Client, NoAnswer, NotSent
@@ -581,12 +581,16 @@
         while not self._listed:
             # A new queen knows too little of what she has.
             await curio.sleep(self._retry_s)
+        if self.crown > 1:
+            # What her predecessor rented last is not even listed yet.
+            await curio.sleep(self.realm.lag_s)
         while True:
             now = await curio.clock()
             asks = self.realm.rent(now) if self._assured(now) else []
             for ask in asks:
                 await self._rent(ask)
-            await curio.sleep(self._retry_s if asks else 0.5 * self._report_s)
+            more = sum(ask.count for ask in asks) >= MOST_RENTED
+            await curio.sleep(self._retry_s if more else self._report_s)
 
     async def _rent(self, ask: Ask) -> None:
         self._asks += 1
