Gangs are searched for in turns, with and without holds

Since a lapsed hold is booked anew, gangs that held machines with 200 s to go were never looked at again while forty others had none, and machines that booted after 50 s passed them by.

--- a/tests/test_booking.py
+++ b/tests/test_booking.py
@@ -7,9 +7,10 @@
 
 from tests.conftest import make_spec
 from tests.standins import settings_for
-from topazhold.control.booking import Booking, View
+from topazhold.control.booking import Booking, View, Wanted
 from topazhold.core.holds import HoldBook
 from topazhold.core.jobs import Job
+from topazhold.core.preemption import turn
 from topazhold.core.search import Offer
 from topazhold.settings import Operator
 
@@ -39,9 +40,6 @@
     settings = settings_for("hive-0", "a", [])
     found = Booking(settings, Operator(), None, HoldBook("hive-0"), Random(1))  # type: ignore[arg-type]
     job = Job(make_spec(frames=1, cards=4.0), 0.0, clock.now, "hive-0")
-    from topazhold.control.booking import Wanted
-    from topazhold.core.preemption import turn
-
     found.wanted[job.id] = Wanted(job.spec, turn(job), 0.0)
     return found
 
@@ -83,3 +81,17 @@
     clock.now += 61.0
     found.round(view(), 122.0)
     assert found.mine == {}, "nothing is known of it any more"
+
+
+def test_all_gangs_are_searched_for_in_turns(monkeypatch: Any) -> None:
+    """Those with holds were not, as long as enough others had none."""
+    clock = Clock(monkeypatch)
+    found = booking(clock)
+    found.round(view(m1=100.0), 0.0)
+    for number in range(100, 140):
+        job = Job(make_spec(number, frames=4, cards=4.0), 0.0, clock.now, "hive-0")
+        found.wanted[job.id] = Wanted(job.spec, turn(job), 1.0)
+    for second in range(1, 5):
+        clock.now += 1.0
+        found.round(view(m1=100.0, m2=5.0), float(second))
+    assert held(found) == {"m2"}
--- a/topazhold/control/booking.py
+++ b/topazhold/control/booking.py
@@ -36,12 +36,13 @@
 class Wanted:
     """A gang that this controller searches for."""
 
-    __slots__ = ("spec", "turn", "since")
+    __slots__ = ("spec", "turn", "since", "searched")
 
     def __init__(self, spec: JobSpec, turn: Turn, since: float) -> None:
         self.spec = spec
         self.turn = turn
         self.since = since
+        self.searched = -1e9
 
     @property
     def rank(self) -> tuple[int, int]:
@@ -138,10 +139,11 @@
         # Others' holds as they were read, our own as they are to be written.
         draft = HoldBook(self.node)
         draft.holds = {**self.book.holds, self.node: self.mine}
-        order = sorted(
-            self.wanted.values(), key=lambda w: (w.spec.id in self.mine, w.turn, w.since)
-        )
+        # In turns: when those without a hold always came first, holds on machines
+        # that free late were kept while others came up.
+        order = sorted(self.wanted.values(), key=lambda w: (w.searched, w.turn, w.since))
         for wanted in order[:MOST_SEARCHED]:
+            wanted.searched = now
             job = wanted.spec.id
             old = self.mine.get(job)
             if old is not None and old.free_now and wall - old.made < self._settle_s:
--- a/topazhold/control/node.py
+++ b/topazhold/control/node.py
@@ -535,7 +535,11 @@
                 if job.id not in self.booking.mine:
                     self.booking.forget(job.id)
                     continue
-            wanted[job.id] = Wanted(job.spec, turn(job), job.arrived)
+            known = wanted.get(job.id)
+            if known is None:
+                wanted[job.id] = Wanted(job.spec, turn(job), job.arrived)
+            else:
+                known.turn = turn(job)
             hold = self.booking.mine.get(job.id)
             if hold is not None and reign.realm.spent(job, hold):
                 del self.booking.mine[job.id]
