A machine without a free card is not free

The caches' order took any machine with CPUs and memory left for free, so full machines stood before those that boot, and filled the twenty places.

--- a/tests/test_search.py
+++ b/tests/test_search.py
@@ -153,3 +153,12 @@
     assert rooms.taken("wk-2", (1, 3, 8.0), yields=True).keys() == {"m3"}
     equal = HeldRooms(book, lambda hold: hold.turn, lambda hold: False)
     assert equal.taken("wk-2", (1, 2, 7.0), yields=True).keys() == {"m1", "m3"}
+
+
+def test_machine_without_a_free_card_is_not_free() -> None:
+    """Full machines filled the caches, and those about to boot were not in them."""
+    full = Offer(
+        "m1", "a", "b1", False, frozenset(), [(0.0, (2.0, 0.0, 8.0)), (90.0, ROOM)], [], 2.0
+    )
+    assert search.sooner(full)[0] == 90.0
+    assert search.sooner(offer("m2", "a", 40.0)) < search.sooner(full)
--- a/topazhold/core/search.py
+++ b/topazhold/core/search.py
@@ -353,8 +353,13 @@
 
 
 def sooner(offer: Offer) -> tuple[float, float]:
-    """Order of a cache: soonest free first, then the roomiest."""
+    """Order of a cache: soonest free first, then the roomiest.
+
+    A machine whose cards are all taken is not free for the CPUs and memory that are
+    left: such ones stood before those about to come up.
+    """
+    cards = bool(offer.rungs) and offer.rungs[-1][1][1] > 0
     for delay, room in offer.rungs:
-        if fits((0.0, 0.0, 0.0), room) and (room[0] > 0 and (room[1] > 0 or room[2] > 0)):
+        if room[0] > 0 and (room[1] > 0 or not cards):
             return (delay, -room[1])
     return (math.inf, 0.0)
