--- /dev/null
+++ b/tests/scenes.py
@@ -0,0 +1,169 @@
+"""Scenes: a few controllers, machines and jobs, with troubles set up by hand."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import curio
+import pytest
+
+from tests.standins import VirtualTime, Worker, run_virtual, start_node, stop_node
+from tests.world import STEP_S, World
+from topazhold.io.http import NoAnswer, NotSent
+from topazhold.wire.codec import unpack
+
+#: Report period, lease and time for a cancellation of the two sites.
+SITES = {"hive": (2.0, 13.0, 33.0), "maps": (4.0, 24.0, 49.0)}
+LONG_S = 5000.0
+
+
+class Scene(World):
+    """A world without users or troubles of its own; `play` does what a test asks."""
+
+    def __init__(self, clock: VirtualTime, seed: int, site: str) -> None:
+        super().__init__(clock, seed, capacity=8)
+        for settings in self.node_settings.values():
+            workers = settings.cluster.workers
+            workers.report_s, workers.lease_s, workers.cancel_s = SITES[site]
+            settings.cluster.teams[0].gpus_max = settings.cluster.teams[1].gpus_max = 100.0
+        self.workers = self.settings.cluster.workers
+        self.numbers = 0
+        self.gone_at: dict[str, float] = {}  # cancelled jobs, by when the last task was gone
+        self.started_late: list[str] = []  # tasks that started after a confirmation
+
+    def started(self, worker: Worker, task: Any) -> None:
+        if task.job in self.cancelled_at:
+            self.started_late.append(task.frame)
+        super().started(worker, task)
+
+    def check(self) -> None:
+        super().check()
+        there = {
+            task.job for worker in self.cloud.workers.values()
+            for task in worker.tasks.values() if task.stage != "ended"
+        }  # fmt: skip
+        for job in self.cancelled_at:
+            if job in there:
+                self.gone_at.pop(job, None)
+            else:
+                self.gone_at.setdefault(job, self.clock.now)
+
+    def took_s(self) -> float:
+        """How long after its confirmation the latest job's last task was gone."""
+        return max(
+            self.gone_at.get(job, LONG_S) - at for job, at in self.cancelled_at.items()
+        )
+
+    # -- what a test does -----------------------------------------------------
+
+    async def begin(self, machines: int = 6) -> None:
+        for name in self.names:
+            await start_node(self, name)
+        for number in range(machines):
+            await self.cloud.add("ab"[number % 2], False)
+        await curio.spawn(self.steps, daemon=True)
+        await self.until(lambda: self.leader() is not None)
+
+    async def until(self, true: Callable[[], Any], most_s: float = 60.0) -> None:
+        """Wait until something is so; an assertion fails if it never is."""
+        end = self.clock.now + most_s
+        while not true():
+            assert self.clock.now < end, "it never came to be"
+            await curio.sleep(0.01)
+
+    def leader(self) -> str | None:
+        """The loaded leader with the newest token."""
+        leading = [
+            (node.reign.crown, name) for name, node in self.nodes.items()
+            if node.reign is not None and node.reign.loaded
+        ]  # fmt: skip
+        return max(leading)[1] if leading else None
+
+    def others(self, name: str | None) -> list[str]:
+        return [other for other in self.names if other != name and other in self.nodes]
+
+    def present_jobs(self) -> set[str]:
+        return {task.job for worker in self.cloud.workers.values() for task in worker.present()}
+
+    async def submit(self, via: str, run_s: float = LONG_S, **changes: Any) -> str:
+        """A job that is accepted by this controller."""
+        self.numbers += 1
+        spec = {
+            **self.new_spec(self.numbers), "lane": "fill", "shape": "batch", "frames": 3,
+            "cards": 1.0, "vcpus": 1.0, "ram_gb": 1.0, "image_gb": 1.0, "apiary": None,
+            "same_place": False, "urgency": "normal", "drones": False, "cap_s": 0.0,
+            "forage_s": run_s, **changes,
+        }  # fmt: skip
+        job = str(spec["id"])
+        self.specs[job] = spec
+        self.run_s[job] = run_s
+        self.submitted_at[job] = self.clock.now
+        status, body = await self.request(via, "POST", "/api/jobs", spec)
+        self.hear(job, status, body, True)
+        assert status == 201, status
+        return job
+
+    async def jobs_running(self, count: int, via: str, **changes: Any) -> list[str]:
+        """So many jobs, all their tasks on machines."""
+        jobs = [await self.submit(via, **changes) for _ in range(count)]
+        tasks = sum(self.specs[job]["frames"] for job in jobs)
+
+        def on() -> bool:
+            stages = [
+                task.stage for worker in self.cloud.workers.values()
+                for task in worker.tasks.values() if task.job in jobs
+            ]  # fmt: skip
+            return stages.count("running") == tasks
+
+        await self.until(on, 120.0)
+        return jobs
+
+    async def request(self, via: str, method: str, path: str, body: Any) -> tuple[int, Any]:
+        try:
+            status, data = await self.net.ask("user", via, method, path, body, 5.0)
+        except (NotSent, NoAnswer):
+            return 0, None
+        return status, unpack(data) if data else None
+
+    async def cancel(self, job: str, via: str) -> int:
+        """Ask one controller to cancel; the checker hears the answer."""
+        self.cancel_asked.add(job)
+        status, body = await self.request(via, "POST", f"/api/jobs/{job}/cancel", {})
+        self.hear(job, status, body, False)
+        return status
+
+    async def poll(self, job: str, via: str) -> tuple[int, Any]:
+        status, body = await self.request(via, "GET", f"/api/jobs/{job}", None)
+        self.hear(job, status, body, False)
+        return status, body
+
+    async def end(self, name: str) -> None:
+        await stop_node(self, name)
+
+    async def outage(self, for_s: float) -> None:
+        self.state.set_down(True)
+        await curio.sleep(for_s)
+
+
+def play_scene(
+    act: Callable[[Scene], Awaitable[None]], monkeypatch: pytest.MonkeyPatch,
+    site: str = "hive", seed: int = 1,
+) -> Scene:  # fmt: skip
+    """Play what `act` does; whoever calls checks the rules."""
+    scenes: list[Scene] = []
+
+    async def main(clock: VirtualTime) -> None:
+        scene = Scene(clock, seed, site)
+        scenes.append(scene)
+        await act(scene)
+        await curio.sleep(2 * STEP_S)
+        for name in list(scene.nodes):
+            await stop_node(scene, name)
+
+    run_virtual(main, monkeypatch)
+    return scenes[0]
+
+
+def assert_rules(scene: Scene) -> None:
+    assert scene.broken == [], "\n".join(scene.notes[-40:])
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -364,6 +364,7 @@
         self.gone = False
         self.hanging_until = 0.0
         self.deaf_until = 0.0  # its reports arrive, answers and commands don't
+        self.mute_until = 0.0  # it reaches no controller, direct commands reach it
         self.gone_at: float | None = None
         self.sick = False
         self.failed_at: float | None = None
@@ -449,6 +450,9 @@
         rep = self.report()
         await world.net.copy(self.host, names, "POST", "/v1/report", rep)
         try:
+            if sent < self.mute_until:
+                await curio.sleep(0.5)
+                raise NotSent(target)
             status, body = await world.net.ask(
                 self.host, target, "POST", "/v1/report", rep, 4.0
             )
--- /dev/null
+++ b/tests/test_cancellations.py
@@ -0,0 +1,322 @@
+"""Cancellations that meet an outage: every task is gone within `cancel_s` all the same.
+
+The state service refuses the leader alone, another controller confirms, then the
+service is down for all, for longer than `cancel_s`, while workers go on reporting.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import curio
+import pytest
+
+from tests.scenes import SITES, Scene, assert_rules, play_scene
+from tests.standins import Worker, start_node
+from topazhold.control.enforcing import Enforcer
+from topazhold.control.node import Node
+from topazhold.core.cancellations import MOST_TOLD, Cancellations
+from topazhold.core.placements import Placements
+from topazhold.io.http import Answer
+from topazhold.wire.messages import FrameReport, Orders, Report
+
+Twist = Callable[[Scene, str, str], Awaitable[None]]
+
+
+async def nothing(scene: Scene, leader: str, confirmer: str) -> None:
+    """No further trouble."""
+
+
+async def confirmer_ends(scene: Scene, leader: str, confirmer: str) -> None:
+    await scene.end(confirmer)
+
+
+async def leader_ends(scene: Scene, leader: str, confirmer: str) -> None:
+    """Workers go to the followers, which keep them."""
+    await scene.end(leader)
+
+
+async def all_but_confirmer_restart(scene: Scene, leader: str, confirmer: str) -> None:
+    """Controllers that came up in the outage, with nothing but what a peer tells them."""
+    for name in scene.others(confirmer):
+        await scene.end(name)
+    await curio.sleep(1.0)
+    for name in scene.names:
+        if name not in scene.nodes:
+            await start_node(scene, name)
+
+
+async def all_restart(scene: Scene, leader: str, confirmer: str) -> None:
+    """Nobody is left who could know: then nobody may keep a worker."""
+    for name in list(scene.nodes):
+        await scene.end(name)
+    await curio.sleep(1.0)
+    for name in scene.names:
+        await start_node(scene, name)
+
+
+async def confirmer_restarts_alone(scene: Scene, leader: str, confirmer: str) -> None:
+    scene.peers_refuse = True
+    await scene.end(confirmer)
+    await curio.sleep(0.5)
+    await start_node(scene, confirmer)
+
+
+def gap(
+    twist: Twist, monkeypatch: pytest.MonkeyPatch, site: str, seed: int = 1,
+    before: Callable[[Scene], None] | None = None, links: bool = True,
+) -> Scene:  # fmt: skip
+    """The gap: refused alone, cancelled, out for all; `before` is set up with the refusal."""
+
+    async def act(scene: Scene) -> None:
+        await scene.begin()
+        leader = scene.leader()
+        assert leader is not None
+        confirmer = scene.others(leader)[0]
+        jobs = await scene.jobs_running(4, confirmer, cards=2.0)
+        await curio.sleep(3 * scene.workers.report_s)
+        if before is not None:
+            before(scene)
+        scene.state.refused.add(leader)
+        scene.peers_refuse = not links
+        await curio.sleep(0.3)
+        for job in jobs:
+            assert await scene.cancel(job, confirmer) == 200
+        assert scene.leader() == leader, "the old leader leads still"
+        scene.state.set_down(True)
+        scene.state.refused.clear()
+        await twist(scene, leader, confirmer)
+        await curio.sleep(scene.workers.cancel_s + scene.workers.lease_s)
+        assert scene.state.down and len(scene.cancelled_at) == len(jobs)
+
+    return play_scene(act, monkeypatch, site, seed)
+
+
+@pytest.mark.parametrize("site", SITES)
+@pytest.mark.parametrize(
+    "twist", [nothing, confirmer_ends, leader_ends, all_but_confirmer_restart, all_restart,
+              confirmer_restarts_alone],
+)  # fmt: skip
+def test_gap(twist: Twist, site: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    scene = gap(twist, monkeypatch, site)
+    assert_rules(scene)
+    assert scene.took_s() < 0.9 * scene.workers.cancel_s
+
+
+@pytest.mark.parametrize("site", SITES)
+def test_gap_without_links(site: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    """No controller hears another: the confirmer sees to it herself."""
+    scene = gap(nothing, monkeypatch, site, links=False)
+    assert_rules(scene)
+    assert scene.took_s() < 0.7 * scene.workers.cancel_s
+
+
+def deaf(worker: Worker, until: float) -> None:
+    worker.deaf_until = until
+
+
+def mute(worker: Worker, until: float) -> None:
+    worker.mute_until = until
+
+
+def hang(worker: Worker, until: float) -> None:
+    worker.hanging_until = until
+
+
+@pytest.mark.parametrize("links", [True, False])
+@pytest.mark.parametrize("site", SITES)
+@pytest.mark.parametrize("trouble", [deaf, mute, hang])
+def test_gap_with_machines_out_of_reach(
+    trouble: Callable[[Worker, float], None], site: str, links: bool,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:  # fmt: skip
+    """What can't be shown to be gone takes its machine with it, without the state service."""
+
+    healthy: list[Worker] = []
+
+    def before(scene: Scene) -> None:
+        busy = [worker for worker in scene.cloud.workers.values() if worker.present()]
+        assert len(busy) > 3
+        healthy[:] = busy[2:]
+        for worker in busy[:2]:
+            trouble(worker, scene.clock.now + 4 * scene.workers.cancel_s)
+
+    scene = gap(nothing, monkeypatch, site, before=before, links=links)
+    assert_rules(scene)
+    assert scene.took_s() < 0.8 * scene.workers.cancel_s
+    gone = [worker.name for worker in healthy if worker.gone]
+    assert gone == [], "machines that show their tasks gone are not released"
+
+
+@pytest.mark.parametrize("site", SITES)
+def test_gap_with_a_leader_that_could_not_load(
+    site: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Her token voids the old leader's commands, so she has to kill without a realm."""
+
+    async def act(scene: Scene) -> None:
+        await scene.begin()
+        old = scene.leader()
+        assert old is not None
+        confirmer = scene.others(old)[0]
+        jobs = await scene.jobs_running(4, confirmer)
+        scene.state.refused.add(old)
+        await curio.sleep(1.0)
+        for job in jobs:
+            assert await scene.cancel(job, confirmer) == 200
+        elected: list[str] = []
+
+        def new() -> bool:
+            elected[:] = [
+                name for name, node in scene.nodes.items()
+                if name != old and node.reign is not None
+            ]  # fmt: skip
+            return bool(elected)
+
+        while not new():
+            await curio.sleep(0.001)
+        scene.state.set_down(True)
+        scene.state.refused.clear()
+        reign = scene.nodes[elected[0]].reign
+        assert not reign.loaded
+        await curio.sleep(scene.workers.cancel_s + scene.workers.lease_s)
+        assert scene.nodes[elected[0]].reign is reign and not reign.loaded
+
+    scene = play_scene(act, monkeypatch, site)
+    assert_rules(scene)
+    assert scene.took_s() < 0.5 * scene.workers.cancel_s
+
+
+@pytest.mark.parametrize("seed", range(1, 7))
+def test_launch_in_flight_at_the_confirmation(
+    seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Cancelled between intent and launch, or while the launch is on its way."""
+
+    async def act(scene: Scene) -> None:
+        await scene.begin()
+        leader = scene.leader()
+        assert leader is not None
+        confirmer = scene.others(leader)[0]
+        for _ in range(4):
+            job = await scene.submit(confirmer)
+            realm = scene.nodes[leader].reign.realm
+            want = scene.rng.choice(["written", "ordered", "pulling"])
+
+            def reached(
+                job: str = job, realm: Any = realm, states: tuple[str, ...] = (want, "pulling")
+            ) -> bool:
+                known = realm.jobs.get(job)
+                return known is not None and any(
+                    run.state.value in states for run in known.runs.values()
+                )
+
+            await scene.until(reached)
+            scene.state.refused.add(leader)
+            assert await scene.cancel(job, confirmer) == 200
+            scene.state.set_down(True)
+            await curio.sleep(0.6 * scene.workers.cancel_s)
+            scene.state.set_down(False)
+            scene.state.refused.clear()
+            await curio.sleep(2 * scene.workers.report_s)
+            found = scene.leader()
+            assert found is not None
+            leader = found
+            confirmer = scene.others(leader)[0]
+
+    scene = play_scene(act, monkeypatch, seed=seed)
+    assert_rules(scene)
+    # A launch that had left already may start its task before the kill is there.
+    assert scene.took_s() < 3 * scene.workers.report_s
+
+
+# -- broken variants: each mechanism is needed by one of the scenes -------------
+
+
+def no_enforcer(patch: pytest.MonkeyPatch) -> None:
+    async def idle(self: Any) -> None:
+        pass
+
+    patch.setattr(Enforcer, "round", idle)
+
+
+def test_checker_catches_a_record_that_is_not_told(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def silent(self: Any, peer: str) -> None:
+        pass
+
+    monkeypatch.setattr(Node, "_tell_cancellations", silent)
+    monkeypatch.setattr(Cancellations, "informed", True, raising=False)
+    assert "ran_cancelled" in gap(confirmer_ends, monkeypatch, "hive").broken
+
+
+def test_checker_catches_answers_without_kills(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Those who keep workers without a realm, the leader that led among them ended."""
+    no_enforcer(monkeypatch)
+    assert gap(leader_ends, monkeypatch, "hive").broken == []
+    monkeypatch.setattr(
+        Node, "_answer_kept", lambda self, rep, crown: Answer(200, Orders(crown, []))
+    )
+    assert "ran_cancelled" in gap(leader_ends, monkeypatch, "hive").broken
+
+
+def test_checker_catches_a_confirmer_that_does_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    no_enforcer(monkeypatch)
+    assert "ran_cancelled" in gap(nothing, monkeypatch, "hive", links=False).broken
+
+
+def test_checker_catches_workers_kept_by_who_knows_nothing(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(Node, "_informed", lambda self, now: True)
+    assert "ran_cancelled" in gap(all_restart, monkeypatch, "hive").broken
+
+
+# -- the record itself -------------------------------------------------------------
+
+
+def test_record_reaches_a_peer_in_parts_and_after_its_restart() -> None:
+    here = Cancellations("here-1", 30.0, 10.0)
+    for number in range(2 * MOST_TOLD + 5):
+        assert here.add(f"wk-{number}", 1000.0, 1000.0)
+    assert not here.add("wk-3", 1000.0, 1000.0)
+    for boot in ("there-1", "there-2"):
+        there = Cancellations(boot, 30.0, 10.0)
+        here.acknowledged("there", "", -1)  # it has just started
+        messages = 0
+        while (news := here.news("there")) is not None:
+            there.receive("here", here.boot, *news, 1001.0)
+            here.acknowledged("there", *there.receipts()["here"])
+            messages += 1
+        assert messages == 3 and len(there) == len(here)
+        assert there.level_with("here", here.boot, here.last)
+        assert here.peer_has("there", "wk-1004")
+
+
+def test_record_takes_nothing_out_of_order() -> None:
+    """A lost message must not be taken for had: its jobs would never be told."""
+    there = Cancellations("there-1", 30.0, 10.0)
+    assert there.receive("here", "b", 5, 7, [["wk-7", 1000.0]], 1000.0) == []
+    assert there.receipts()["here"] == ["b", -1]
+    assert there.receive("here", "b", -1, 7, [["wk-7", 1000.0]], 1000.0) == [("wk-7", 1000.0)]
+
+
+def test_record_is_bounded_by_time() -> None:
+    record = Cancellations("b", 30.0, 10.0)
+    for number in range(100):
+        record.add(f"wk-{number}", 1000.0 + 10 * number, 1000.0 + 10 * number)
+    assert len(record) <= 17 and "wk-99" in record
+
+
+def test_older_word_of_a_worker_says_nothing_of_its_tasks() -> None:
+    def report(tally: int, jobs: list[str]) -> Report:
+        frames = [FrameReport(f"{job}/0", 1, "running") for job in jobs]
+        return Report("host-1", "h:1", "b1", "a", False, 1, tally, 3, frames)
+
+    placements = Placements()
+    placements.told(3, [["host-1", "h:1", ["wk-1"]]])
+    placements.seen(report(5, []))
+    placements.seen(report(4, ["wk-1"]))
+    assert placements.may_hold(frozenset(["wk-1"])) == {}
+    placements.told(2, [["host-1", "h:1", ["wk-1"]]])
+    assert placements.may_hold(frozenset(["wk-1"])) == {}, "an earlier leader's word"
--- /dev/null
+++ b/topazhold/control/enforcing.py
@@ -0,0 +1,170 @@
+"""Ends the tasks of cancelled jobs when no leader does.
+
+A leader that has loaded sees to the cancellations that she knows of. Where none
+can be seen to know one, each controller that does looks at the machines itself:
+it asks for their state, sends kills with the token that the worker names, and
+has a machine released on which a task can't be shown to be gone. All of it goes
+without the state service.
+"""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections.abc import Callable
+
+import curio
+
+from topazhold.control.cloud import MOST_RELEASED, Cloud, CloudDown
+from topazhold.core.cancellations import Cancellations
+from topazhold.core.placements import Place, Placements
+from topazhold.io.http import Client, Clients, NoAnswer, NotSent
+from topazhold.settings import Settings, address
+from topazhold.wire import messages as wire
+from topazhold.wire.codec import BadMessage, read
+from topazhold.wire.messages import Orders, Report
+
+log = logging.getLogger(__name__)
+
+#: Shares of `cancel_s` after the confirmation: when a controller begins to look for
+#: itself, after how long it looks again where a task may be, when a task that can't be
+#: shown to be gone takes its machine with it, and when nothing is left to do.
+LOOK_SHARE = 0.1
+AGAIN_SHARE = 0.08
+RELEASE_SHARE = 0.6
+END_SHARE = 2.0
+#: Machines that are not known to hold such a task are looked at so many times: a launch
+#: may have been on its way at the first.
+SWEEPS = 2
+#: Looks under way at once, as a share of the sockets.
+LOOKING_SHARE = 1 / 32
+
+
+class Enforcer:
+    """One controller's last word on cancelled jobs."""
+
+    def __init__(
+        self, settings: Settings, cancellations: Cancellations, placements: Placements,
+        cloud: Cloud, dial: Callable[[tuple[str, int], int], Client],
+        seen_to: Callable[[str, float], bool],
+    ) -> None:  # fmt: skip
+        workers = settings.cluster.workers
+        self._cancel_s = workers.cancel_s
+        self._report_s = workers.report_s
+        self._cancellations = cancellations
+        self._placements = placements
+        self._cloud = cloud
+        self._seen_to = seen_to  # whether a leader that has loaded knows the cancellation
+        self._most = max(4, int(settings.cluster.limits.sockets * LOOKING_SHARE))
+        self._looking: set[str] = set()
+        self._clients = Clients(dial, self._most)
+        self._listed_at = -1e9
+        self._releasing = False
+
+    async def loop(self) -> None:
+        while True:
+            await curio.sleep(0.1 * self._report_s)
+            await self.round()
+
+    def open(self, now: float) -> dict[str, float]:
+        """Cancelled jobs that are left to this controller, by their age."""
+        wall = time.time()
+        return {
+            job: wall - at
+            for job, at in self._cancellations.since(wall - END_SHARE * self._cancel_s)
+            if wall - at > LOOK_SHARE * self._cancel_s and not self._seen_to(job, now)
+        }
+
+    async def round(self) -> None:
+        """Begin the looks and the release that are due."""
+        now = await curio.clock()
+        ages = self.open(now)
+        if not ages:
+            return
+        await self._list(now)
+        held = self._placements.may_hold(frozenset(ages))
+        await self._release(
+            [
+                name for name, jobs in held.items()
+                if max(ages[job] for job in jobs) > RELEASE_SHARE * self._cancel_s
+            ]
+        )  # fmt: skip
+        again_s = AGAIN_SHARE * self._cancel_s
+        # The newest confirmation began at this time; every machine is looked at some
+        # time after it, and once more.
+        newest = now - min(ages.values())
+        sweeps = [newest + (1 + n) * LOOK_SHARE * self._cancel_s for n in range(SWEEPS)]
+        first: list[str] = []
+        others: list[str] = []
+        for name, place in self._placements.places.items():
+            if place.endpoint is None or name in self._looking:
+                continue
+            if name in held:
+                if now - place.looks > again_s:
+                    first.append(name)
+            elif any(place.looks < at <= now for at in sweeps):
+                others.append(name)
+        for name in (first + others)[: self._most - len(self._looking)]:
+            place = self._placements.places[name]
+            place.looks = now
+            self._looking.add(name)
+            await curio.spawn(self._look, name, place, daemon=True)
+
+    async def _list(self, now: float) -> None:
+        """Machines that no leader has told of, from the cloud, off and on."""
+        if now - self._listed_at < LOOK_SHARE * self._cancel_s:
+            return
+        self._listed_at = now
+        await curio.spawn(self._read_list, daemon=True)
+
+    async def _read_list(self) -> None:
+        try:
+            self._placements.listed(await self._cloud.machines())
+        except CloudDown as exc:
+            log.debug("machine list: %s", exc)
+
+    async def _look(self, name: str, place: Place) -> None:
+        """Ask a worker what it has, and kill what it must not have."""
+        assert place.endpoint is not None
+        try:
+            client = await self._clients.at(address(place.endpoint), len(self._looking))
+            status, body = await client.ask("GET", wire.STATUS_PATH, None, self._report_s)
+            if status != 200:
+                return
+            rep = read(body, Report)
+            self._placements.seen(rep)
+            calls = self._cancellations.kills(rep)
+            if not calls:
+                return
+            # Kills are safe from anybody, and a token equal to the worker's is heard.
+            orders = Orders(rep.crown, calls, rep.flight)
+            log.info("%d tasks of cancelled jobs on %s killed from here", len(calls), name)
+            status, body = await client.ask(
+                "POST", wire.COMMANDS_PATH, orders, self._report_s
+            )
+            if status in (200, 409):
+                self._placements.seen(read(body, Report))
+        except (NotSent, NoAnswer, BadMessage, ValueError) as exc:
+            log.debug("look at %s: %s", name, exc)
+        finally:
+            self._looking.discard(name)
+
+    async def _release(self, names: list[str]) -> None:
+        """Machines with a task that nobody can show to be gone: only those, never a zone."""
+        if not names or self._releasing:
+            return
+        self._releasing = True
+        await curio.spawn(self._release_now, sorted(names)[:MOST_RELEASED], daemon=True)
+
+    async def _release_now(self, names: list[str]) -> None:
+        try:
+            log.info("%d machines with tasks of cancelled jobs released from here", len(names))
+            await self._cloud.release(names)
+        except CloudDown as exc:
+            log.debug("release: %s", exc)
+            await curio.sleep(0.25 * self._report_s)
+        else:
+            for name in names:
+                self._placements.gone(name)
+        finally:
+            self._releasing = False
--- a/topazhold/control/node.py
+++ b/topazhold/control/node.py
@@ -12,9 +12,10 @@
 
 from topazhold.control.booking import MOST_SEARCHED, Booking, View, Wanted, searches_beside
 from topazhold.control.cloud import Cloud, CloudDown
+from topazhold.control.enforcing import Enforcer
 from topazhold.control.office import TXN_BYTES
 from topazhold.control.reign import Reign
-from topazhold.control.relay import Shelter
+from topazhold.control.relay import SILENT_GRANTS, Shelter
 from topazhold.control.store import (
     DECISIONS,
     LEASES,
@@ -25,9 +26,11 @@
 )
 from topazhold.control.users import Users, users_request
 from topazhold.core import records
+from topazhold.core.cancellations import Cancellations
 from topazhold.core.holds import HoldBook
 from topazhold.core.jobs import NO_AIM, Job
 from topazhold.core.leadership import CROWN_KEY, QUEEN_KEY, Leadership, Role, read_value
+from topazhold.core.placements import Placements
 from topazhold.core.preemption import turn
 from topazhold.core.search import pack_names, unpack_names
 from topazhold.io.http import Answer, Client, Request, Server
@@ -44,6 +47,8 @@
 GRANT_BOUNDS = (1.5, 3.5)
 #: Steady clocks drift; a lease is taken to end this much earlier.
 DRIFT = 0.002
+#: How long a cancellation's answer waits for the first peer to have it.
+RECEIPT_REPORTS = 0.1
 #: The catalog's prices move slowly.
 CATALOG_REPORTS = 60
 #: How often the queen tells her peers the summary, about.
@@ -88,12 +93,24 @@
         self.breeds: dict[str, Breed] = {}
         self.view = View()
         self.booking = Booking(settings, operator, self.store, self.book, self.rng)
-        self.users = Users(
-            settings, self.store, self.breeds, self._accepted, self._running_count
+        workers = cluster.workers
+        self.cancellations = Cancellations(
+            f"{self.name}-{time.time_ns():x}", workers.cancel_s, workers.lease_s
+        )
+        self.placements = Placements()
+        self.enforcer = Enforcer(
+            settings, self.cancellations, self.placements, self.cloud, dial, self._seen_to
         )
+        self._leader_loaded: tuple[str, float] = ("", -1e9)  # whose ping said so, when
+        self._peer_boots: dict[str, str] = {}
+        self._receipt = curio.Event()  # set, and replaced, when a peer acknowledges
+        self.users = Users(
+            settings, self.store, self.breeds, self._accepted, self._running_count,
+            self._cancelled,
+        )  # fmt: skip
         self.shelter = Shelter(
             self.leadership, settings.domain, len(settings.seeds), self.grant_s,
-            cluster.workers.lease_s, time.monotonic(),
+            workers.lease_s, time.monotonic(), workers.cancel_s,
         )  # fmt: skip
         self.barred_until = 0.0
         self.reign: Reign | None = None
@@ -140,6 +157,7 @@
             for loop in (
                 self._lease_loop, self._queen_loop, self._reign_loop, self._catalog_loop,
                 self._ping_loop, self._booking_loop, self._relay_loop, self._resign_loop,
+                self.enforcer.loop,
             ):  # fmt: skip
                 await group.spawn(loop)
         if group.exception is not None:
@@ -161,8 +179,7 @@
 
     def _served(self, now: float) -> bool:
         """Whether the state service answers this node, a hiccup aside."""
-        failing = self.store.failing_since
-        return failing is None or now - failing < 0.3 * self.grant_s
+        return self.store.answers(now)
 
     def _healthy(self, now: float) -> bool:
         """Whether requests can be taken here.
@@ -195,21 +212,95 @@
         if self.shelter.adrift(self._served(now), now):
             # Nothing that this node hears reaches anybody: not even a queen may
             # hold workers here, once her grant may have passed on.
-            if now > self.valid_until and not self.shelter.keeps_adrift(rep, now):
-                return Answer(421, wire.redirect(None))
+            if now > self.valid_until:
+                if not (self._informed(now) and self.shelter.keeps_adrift(rep, now)):
+                    return Answer(421, wire.redirect(None))
         if reign is None or not lead.reigning:
-            if self.shelter.keeps(rep, await curio.clock()):
+            if self._informed(now) and self.shelter.keeps(rep, now):
                 self.shelter.keep(rep)
-                return Answer(200, Orders(lead.crown, []))
+                return self._answer_kept(rep, lead.crown)
             queen = lead.queen if lead.queen != self.name else None
             return Answer(421, wire.redirect(queen))
         if not reign.loaded:
-            return Answer(200, Orders(reign.crown, []))
+            if not self._informed(now):
+                return Answer(421, wire.redirect(None))
+            return self._answer_kept(rep, reign.crown)
         _, calls = await reign.hear(rep)
         if self.reign is not reign:
             return Answer(421, wire.redirect(None))
         return Answer(200, Orders(reign.crown, calls))
 
+    def _informed(self, now: float) -> bool:
+        """Whether a 200 from here keeps no task alive past the end of its `cancel_s`."""
+        return self.cancellations.informed and self.shelter.informed(now)
+
+    def _answer_kept(self, rep: Report, crown: int) -> Answer:
+        """A 200 without a realm: nothing but the kills that the record asks for."""
+        self.placements.seen(rep)
+        calls = self.cancellations.kills(rep)
+        if calls:
+            log.info("%d tasks of cancelled jobs on %s killed in an answer", len(calls), rep.box)
+        return Answer(200, Orders(crown, calls))
+
+    # -- cancellations -------------------------------------------------------
+
+    def _seen_to(self, job: str, now: float) -> bool:
+        """Whether a leader that has loaded sees to a cancellation."""
+        if self.reign is not None and self.reign.loaded:
+            return True
+        leader, at = self._leader_loaded
+        quiet = now - at > 2 * SILENT_GRANTS * self.grant_s
+        return not quiet and self.cancellations.peer_has(leader, job)
+
+    async def _cancelled(self, job: str, at: float) -> None:
+        """A user is about to be told that the job is cancelled.
+
+        Before that, one peer at least is to have it, if one is to be heard: this
+        controller may end just after its answer, and the state service with it.
+        """
+        if not self.cancellations.add(job, at, time.time()):
+            return
+        if self.reign is not None:
+            await self.reign.cancelled(job, at)
+        for peer in self.links:
+            await self._tell_cancellations(peer)
+        now = await curio.clock()
+        end = now + RECEIPT_REPORTS * self.report_s
+        while now < end and self.shelter.hears_peers(now):
+            if any(self.cancellations.peer_has(peer, job) for peer in self.links):
+                return
+            await curio.ignore_after(end - now, self._receipt.wait)
+            now = await curio.clock()
+
+    async def _tell_cancellations(self, peer: str) -> None:
+        """Send a peer what it lacks; it acknowledges, or is told again by the next ping."""
+        news = self.cancellations.news(peer)
+        link = self.links.get(peer)
+        if news is not None and link is not None:
+            await link.send(encode(("cancelled", self.name, self.cancellations.boot, *news)))
+
+    async def _hear_cancellations(self, message: tuple[Any, ...]) -> None:
+        _, peer, boot, after, upto, entries = message
+        fresh = self.cancellations.receive(
+            str(peer), str(boot), int(after), int(upto), entries, time.time()
+        )
+        for job, at in fresh:
+            if self.reign is not None:
+                await self.reign.cancelled(job, at)
+        link = self.links.get(str(peer))
+        if link is not None:
+            receipt = self.cancellations.receipts()[str(peer)]
+            await link.send(encode(("receipt", self.name, *receipt)))
+
+    async def _hear_receipt(self, peer: str, boot: str, upto: int) -> None:
+        lacks = self.cancellations.acknowledged(peer, boot, upto)
+        passed, self._receipt = self._receipt, curio.Event()
+        await passed.set()
+        if lacks:
+            await self._tell_cancellations(peer)
+
+    # -- work accepted here ----------------------------------------------------
+
     async def _accepted(self, job: Job) -> None:
         if self.reign is not None:
             await self.reign.accepted(job)
@@ -348,7 +439,7 @@
         self.reign = Reign(
             self.settings, self.operator, self.store, self.cloud, self.book, self.breeds,
             crown, mark, self.rng, await curio.clock(), self._tell, self._dial,
-            lambda now: now < self.valid_until,
+            lambda now: now < self.valid_until, self.cancellations,
         )  # fmt: skip
         await self._election.set()
         await self._ping()
@@ -359,6 +450,8 @@
             return
         log.info("node %s is queen no more: %s", self.name, why)
         self.leadership.step_down()
+        if self.reign.loaded:
+            self.placements.told(self.reign.crown, self.reign.placed())
         self.reign = None
         self._share(False)
         await self._election.set()
@@ -402,7 +495,15 @@
         if self.reign is not None and self.reign.loaded:
             silent = pack_names(self.reign.realm.unreached(await curio.clock()))
         served = self.store.failing_since is None
-        await self._tell(("ping", self.name, lead.crown, lead.queen or "", silent, served))
+        cancellations = self.cancellations
+        enforces = silent is not None or bool(self.placements.places)
+        await self._tell(
+            (
+                "ping", self.name, lead.crown, lead.queen or "", silent, served, enforces,
+                [cancellations.boot, cancellations.last, cancellations.informed],
+                cancellations.receipts(),
+            )
+        )  # fmt: skip
 
     async def _ping_loop(self) -> None:
         while True:
@@ -413,15 +514,28 @@
         """A message of another controller: hints only."""
         tag = message[0]
         if tag == "ping":
-            _, peer, crown, queen, silent, served = message
+            _, peer, crown, queen, silent, served, enforces, record, receipts = message
             from_queen = silent is not None and peer == queen
+            now = await curio.clock()
             self.shelter.heard(
-                str(peer), bool(served), unpack_names(silent) if from_queen else None,
-                await curio.clock(),
+                str(peer), bool(served), unpack_names(silent) if from_queen else None, now,
+                bool(enforces),
             )
+            if from_queen:
+                self._leader_loaded = (str(peer), now)
+            await self._level(str(peer), record, receipts)
             if queen and int(crown) >= self.leadership.crown:
                 if self.leadership.learn(str(queen), int(crown)):
                     await self._depose("a peer follows a later queen")
+        elif tag == "cancelled":
+            await self._hear_cancellations(message)
+        elif tag == "receipt":
+            _, peer, boot, upto = message
+            await self._hear_receipt(str(peer), str(boot), int(upto))
+        elif tag == "placed":
+            _, crown, items = message
+            if self.reign is None or not self.reign.loaded:
+                self.placements.told(int(crown), items)
         elif tag == "relay":
             _, crown, reports = message
             if self.reign is not None and self.reign.crown == int(crown):
@@ -431,6 +545,18 @@
             if int(crown) >= self.leadership.crown and self.reign is None:
                 self._read_summary(values, await curio.clock())
 
+    async def _level(self, peer: str, record: Any, receipts: Any) -> None:
+        """Compare the records of cancellations with a peer's."""
+        boot, last, informed = record
+        if informed and self.cancellations.level_with(peer, str(boot), int(last)):
+            self.cancellations.informed = True
+        if self._peer_boots.get(peer) != boot:
+            self._peer_boots[peer] = str(boot)
+            if self.reign is not None:
+                self.reign.tell_anew()
+        of_boot, upto = receipts.get(self.name, ("", -1))
+        await self._hear_receipt(peer, str(of_boot), int(upto))
+
     # -- workers that the queen can't reach ----------------------------------------
 
     async def _relay_loop(self) -> None:
--- a/topazhold/control/office.py
+++ b/topazhold/control/office.py
@@ -10,7 +10,8 @@
 
 from topazhold.control.store import DECISIONS, TROUBLE, Conflict, Store
 from topazhold.core import records
-from topazhold.core.jobs import Job
+from topazhold.core.cancellations import Cancellations
+from topazhold.core.jobs import Job, JobState
 from topazhold.core.leadership import QUEEN_KEY
 from topazhold.core.realm import Realm
 from topazhold.core.shelves import Shelves
@@ -36,7 +37,7 @@
 
     def __init__(
         self, settings: Settings, store: Store, realm: Realm, crown: int, mark: int,
-        assured: Callable[[float], bool],
+        assured: Callable[[float], bool], cancellations: Cancellations | None = None,
     ) -> None:  # fmt: skip
         cluster = settings.cluster
         self.node = settings.node_name
@@ -45,6 +46,10 @@
         self.realm = realm
         self.crown = crown
         self.mark = mark
+        if cancellations is None:
+            workers = cluster.workers
+            cancellations = Cancellations(self.node, workers.cancel_s, workers.lease_s)
+        self.cancellations = cancellations
         self.assured = assured  # whether nobody else can be queen yet
         self.report_s = cluster.workers.report_s
         self.retry_s = RETRY_REPORTS * self.report_s
@@ -91,20 +96,45 @@
             if job is not None:
                 job.mark = entry.mark
 
+    async def cancelled(self, job_id: str, at: float) -> None:
+        """A job is cancelled since `at`, by the time of day; a committed fact.
+
+        Nothing here waits: an outage of the state service that came in between kept
+        the kills of all cancelled jobs back for as long as it lasted.
+        """
+        wall, now = time.time(), await curio.clock()
+        self.cancellations.add(job_id, at, wall)
+        self.realm.job_over(job_id, False, now - max(0.0, wall - at), now)
+        await self.stir()
+
+    async def learn_cancelled(self) -> None:
+        """All that the record names; what was read at a take-over may be older."""
+        for job_id, at in self.cancellations.since(0.0):
+            await self.cancelled(job_id, at)
+
     async def job_over(self, job_id: str) -> None:
-        """A live job's key is gone: find out how it ended."""
-        while True:
-            try:
-                entry = await self.store.get(records.over_key(job_id), DECISIONS)
-                break
-            except TROUBLE:
-                await curio.sleep(self.retry_s)
+        """A live job's key is gone: find out how it ended.
+
+        A job that she has not seen complete can only have been cancelled: nobody but
+        its users and the leader ends jobs. So its tasks are stopped without a read.
+        What can't be read now is asked again by whoever moves the job.
+        """
+        job = self.realm.jobs.get(job_id)
+        if job is not None and job.state is JobState.LIVE and not job.complete:
+            at = self.cancellations.at(job_id)
+            await self.cancelled(job_id, time.time() if at is None else at)
+            await self.drop_parts(job)
+            return
+        try:
+            entry = await self.store.get(records.over_key(job_id), DECISIONS)
+        except TROUBLE as exc:
+            log.debug("end of %s not read: %s", job_id, exc)
+            return
         now = await curio.clock()
         done = entry is not None and records.over_stage(entry.data) == wire.DONE
         at = now
         if entry is not None:
             at = now - max(0.0, time.time() - float(entry.data.get("at", time.time())))
-        job = self.realm.jobs.get(job_id)
         self.realm.job_over(job_id, done, at, now)
         if job is not None:
             await self.drop_parts(job)
--- a/topazhold/control/reign.py
+++ b/topazhold/control/reign.py
@@ -21,6 +21,7 @@
 from topazhold.control.takeover import load
 from topazhold.control.telling import Telling
 from topazhold.core import records
+from topazhold.core.cancellations import Cancellations
 from topazhold.core.holds import HOLD_PREFIX, HoldBook
 from topazhold.core.jobs import Job, JobState
 from topazhold.core.machines import Machine
@@ -35,6 +36,8 @@
 
 #: Shortest times between looks at the clocks of all, and between plans.
 TICK_REPORTS = 0.1
+#: Without a look for so long, planning is taken to be stuck.
+STUCK_REPORTS = 0.5
 PLAN_REPORTS = 0.06
 #: Changes that a plan costs at the least, about.
 PLAN_WRITES = 2
@@ -50,14 +53,16 @@
         book: HoldBook, breeds: dict[str, Breed], crown: int, mark: int, rng: Random,
         now: float, tell: Callable[[tuple[Any, ...]], Awaitable[None]],
         dial: Callable[[tuple[str, int], int], Client],
-        assured: Callable[[float], bool],
+        assured: Callable[[float], bool], cancellations: Cancellations,
     ) -> None:  # fmt: skip
         self.crown = crown
         self._breeds = breeds
         self.realm = Realm(settings, operator, crown, book, rng, now)
         self.realm.breeds = breeds
         self.loaded = False
-        self.office = office = Office(settings, store, self.realm, crown, mark, assured)
+        self.office = office = Office(
+            settings, store, self.realm, crown, mark, assured, cancellations
+        )
         self._intents = Intents(office)
         self.saving = Saving(office)
         self._estate = Estate(office, cloud, self._intents)
@@ -67,6 +72,7 @@
         self._telling = Telling(office, operator.summary_s, tell)
         self._round = curio.Event()  # set, and replaced, at the end of a planning round
         self._harvest: dict[str, int] = {}
+        self._ticked_at = -1e9
 
     async def run(self) -> None:
         """Reign until cancelled or deposed."""
@@ -84,11 +90,14 @@
             self.office.node, self.crown, now - start, len(self.realm.jobs),
             len(self.realm.machines),
         )  # fmt: skip
+        await self.office.learn_cancelled()
+        self.office.cancellations.informed = True
         self.loaded = True
         async with curio.TaskGroup(wait=any) as group:
             for loop in (
                 self._strikes.deposed.wait, self._strikes.loop,
-                self._plan_loop, self._watch_jobs, self._watch_holds, self._watch_relays,
+                self._plan_loop, self._tick_loop,
+                self._watch_jobs, self._watch_holds, self._watch_relays,
                 self.saving.loop, self._telling.loop,
                 self._estate.list_loop, self._estate.rent_loop, self._estate.release_loop,
             ):  # fmt: skip
@@ -107,6 +116,19 @@
         """The fleet for this node's own searches, fresh."""
         return self._telling.view(now)
 
+    async def cancelled(self, job_id: str, at: float) -> None:
+        """A user was told that the job is cancelled, by this controller or a peer."""
+        if self.loaded:
+            await self.office.cancelled(job_id, at)
+
+    def placed(self) -> list[list[Any]]:
+        """Where tasks may be, for whoever has no realm."""
+        return self._telling.placed()
+
+    def tell_anew(self) -> None:
+        """A peer has just started: it knows of no machine."""
+        self._telling.tell_anew()
+
     async def stir(self) -> None:
         """Something changed: plan soon."""
         await self.office.stir()
@@ -137,7 +159,11 @@
         now = await curio.clock()
         # Once the grant may have passed on, another may be queen: she knows of
         # the intents, but nothing new is to begin behind her back.
-        return machine, self.realm.answer(machine, rep, now, self.office.assured(now))
+        return machine, self.realm.answer(machine, rep, now, self._may_launch(now))
+
+    def _may_launch(self, now: float) -> bool:
+        """While the state service does not answer, nobody can know what was cancelled."""
+        return self.office.assured(now) and self.office.store.answers(now)
 
     async def _hear_direct(self, rep: Report) -> None:
         await self.hear(rep, direct=True)
@@ -200,7 +226,8 @@
     async def _job_changed(self, job_id: str, data: Any, mark: int) -> None:
         job = self.realm.jobs.get(job_id)
         if data is None:
-            if job is not None and job.state is JobState.LIVE:
+            # Of one that she has seen complete, `Saving.finish` finds out.
+            if job is not None and job.state is JobState.LIVE and not job.complete:
                 await self.office.job_over(job_id)
         elif job is None:
             try:
@@ -214,8 +241,23 @@
 
     # -- planning --------------------------------------------------------------
 
+    def _tick(self, now: float) -> None:
+        self._ticked_at = now
+        self.realm.tick(now)
+
+    async def _tick_loop(self) -> None:
+        """Time passes also while a plan waits for the state service.
+
+        A transaction without an answer is waited for without end, and with it waited
+        what has to happen in time: kills of cancelled jobs, and releases.
+        """
+        while True:
+            await curio.sleep(self.office.retry_s)
+            now = await curio.clock()
+            if now - self._ticked_at > STUCK_REPORTS * self.office.report_s:
+                self._tick(now)
+
     async def _plan_loop(self) -> None:
-        ticked_at = -1e9
         while True:
             await curio.ignore_after(self.office.retry_s, self.office.wake.wait)
             self.office.wake.clear()
@@ -225,9 +267,8 @@
                 # of it in one transaction.
                 await self.office.store.turn(DECISIONS, PLAN_WRITES)
                 now = await curio.clock()
-                if now - ticked_at > TICK_REPORTS * self.office.report_s:
-                    ticked_at = now
-                    self.realm.tick(now)
+                if now - self._ticked_at > TICK_REPORTS * self.office.report_s:
+                    self._tick(now)
                 runs = self.realm.plan(now)
                 busy += time.monotonic() - now
                 if not runs:
--- a/topazhold/control/relay.py
+++ b/topazhold/control/relay.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 from typing import Any
 
@@ -19,6 +20,8 @@
 
 #: A queen that has been silent for this share of a grant's time is cut off.
 SILENT_GRANTS = 0.9
+#: Steady clocks drift apart by at most this share.
+DRIFT = 0.002
 
 
 def _news(rep: Report) -> bool:
@@ -78,7 +81,7 @@
 
     def __init__(
         self, leadership: Leadership, zone: str, peers: int, grant_s: float, lease_s: float,
-        now: float,
+        now: float, cancel_s: float = math.inf,
     ) -> None:  # fmt: skip
         self._lead = leadership
         self._zone = zone
@@ -86,6 +89,10 @@
         self._adrift = Adrift(zone, lease_s)
         self._silence_s = SILENT_GRANTS * grant_s
         self._lease_s = lease_s
+        # A task that an answer keeps alive lives for a lease more. Until so long after
+        # the last word of a peer, whatever was cancelled since is gone in time.
+        self._unheard_s = max(0.0, cancel_s - lease_s * (1 + DRIFT))
+        self._enforcing = False  # whether peers could end tasks that are kept here
         self._since = now
         self._heard: dict[str, float] = {}  # peers, by the time of their last ping
         self._served: dict[str, bool] = {}  # whether the state service serves them
@@ -94,19 +101,40 @@
         self._kept: dict[str, Report] = {}
 
     def heard(
-        self, peer: str, served: bool, silent: Iterable[str] | None, now: float
-    ) -> None:
+        self, peer: str, served: bool, silent: Iterable[str] | None, now: float,
+        enforces: bool = True,
+    ) -> None:  # fmt: skip
         """A peer's ping; the queen's carries the machines that she does not hear."""
         self._heard[peer] = now
+        self._enforcing = enforces
         self._served[peer] = served
         if silent is not None:
             self._silent = set(silent)
 
+    def hears_peers(self, now: float) -> bool:
+        """Whether any peer was heard just now."""
+        return any(now - at < self._silence_s for at in self._heard.values())
+
     def alone(self, now: float) -> bool:
         """Whether peers are served while this node is not, or none can be heard."""
         fresh = [peer for peer, at in self._heard.items() if now - at < 2 * self._silence_s]
         return any(self._served[peer] for peer in fresh) or (bool(self._heard) and not fresh)
 
+    def informed(self, now: float) -> bool:
+        """Whether every confirmed cancellation is met though workers are kept here.
+
+        Peers that are heard tell of them. Those that are not heard any more, but knew
+        where tasks are, release what they can't stop. Of others nothing is known, and
+        workers are kept only for as long as `cancel_s` allows.
+        """
+        if self._peers == 0:
+            return True
+        last = max(self._heard.values(), default=self._since)
+        return (
+            now - last < 2 * self._silence_s or self._enforcing
+            or now - last < self._unheard_s
+        )  # fmt: skip
+
     def adrift(self, served: bool, now: float) -> bool:
         """Whether this node reaches neither the state service nor any peer."""
         quiet_s = 2 * self._silence_s
--- a/topazhold/control/saving.py
+++ b/topazhold/control/saving.py
@@ -63,6 +63,8 @@
                 await self._office.repair(exc.keys)
                 if over in exc.keys:
                     await self._office.job_over(job.id)
+                if job.state is JobState.LIVE:
+                    await curio.sleep(self._office.retry_s)  # how it ended can't be read yet
                 continue
             except TROUBLE as exc:
                 log.debug("job %s not moved yet: %s", job.id, exc)
--- a/topazhold/control/store.py
+++ b/topazhold/control/store.py
@@ -21,6 +21,8 @@
 USERS = 0.3
 
 PAGE = 500
+#: Trouble shorter than this share of a request's time limit is taken for a hiccup.
+HICCUP_TIMEOUTS = 0.75
 #: Longest wait of a decision for the limits.
 PATIENCE_S = 1.0
 
@@ -60,6 +62,12 @@
         self._timeout_s = timeout_s
         self.failing_since: float | None = None
 
+    def answers(self, now: float) -> bool:
+        """Whether the service answers this controller, a hiccup aside."""
+        return self.failing_since is None or now - self.failing_since < (
+            HICCUP_TIMEOUTS * self._timeout_s
+        )
+
     def set_share(self, share: float) -> None:
         """This node's share of the limits."""
         self._reads.set_rate(self._rps * share)
--- a/topazhold/control/strikes.py
+++ b/topazhold/control/strikes.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-from collections import OrderedDict
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -11,7 +10,7 @@
 
 from topazhold.control.office import Deposed, Office
 from topazhold.core.machines import Machine
-from topazhold.io.http import Client, NoAnswer, NotSent
+from topazhold.io.http import Client, Clients, NoAnswer, NotSent
 from topazhold.settings import address
 from topazhold.wire import messages as wire
 from topazhold.wire.codec import BadMessage, read
@@ -36,17 +35,14 @@
     ) -> None:  # fmt: skip
         self._most = max(4, int(sockets * STRIKING_SHARE))
         self._most_silent = max(1, int(self._most * SILENT_SHARE))
-        self._most_kept = max(4, int(sockets * KEPT_SHARE))
+        self._clients = Clients(dial, max(4, int(sockets * KEPT_SHARE)))
         self._office = office
-        self._dial = dial
         self._hear = hear
         self._striking: dict[str, bool] = {}  # under way; whether the worker is silent
-        self._directs: OrderedDict[str, Client] = OrderedDict()
         self.deposed = curio.Event()
 
     async def close(self) -> None:
-        for client in self._directs.values():
-            await client.close()
+        await self._clients.close()
 
     async def loop(self) -> None:
         """Send kills directly; the next report's answer repeats them."""
@@ -91,7 +87,7 @@
         """POST /commands; whatever comes back is a report."""
         assert machine.endpoint is not None
         try:
-            client = await self._client(machine.endpoint)
+            client = await self._clients.at(address(machine.endpoint), len(self._striking))
             orders = Orders(self._office.crown, calls, machine.flight)
             status, body = await client.ask(
                 "POST", wire.COMMANDS_PATH, orders, self._office.report_s
@@ -103,14 +99,3 @@
                 await self._hear(rep)
         except (NotSent, NoAnswer, BadMessage, ValueError) as exc:
             log.debug("direct to %s: %s", machine.name, exc)
-
-    async def _client(self, endpoint: str) -> Client:
-        """A connection of a machine that was last commanded long ago is given up."""
-        client = self._directs.get(endpoint)
-        if client is None:
-            client = self._directs[endpoint] = self._dial(address(endpoint), 1)
-        self._directs.move_to_end(endpoint)
-        while len(self._directs) > self._most_kept + len(self._striking):
-            _, oldest = self._directs.popitem(last=False)
-            await oldest.close()
-        return client
--- a/topazhold/control/takeover.py
+++ b/topazhold/control/takeover.py
@@ -11,7 +11,7 @@
 from topazhold.control.store import LEASES
 from topazhold.core import records, recovery
 from topazhold.core.holds import HOLD_PREFIX
-from topazhold.core.jobs import Job
+from topazhold.core.jobs import Job, JobState
 from topazhold.core.shelves import Shelves
 from topazhold.wire.codec import BadMessage
 from topazhold.wire.messages import Breed
@@ -61,7 +61,10 @@
         over = await office.store.get(records.over_key(job_id), LEASES)
         if over is not None:
             try:
-                jobs.append(records.read_over(over.data, wall, clock))
+                job = records.read_over(over.data, wall, clock)
+                jobs.append(job)
+                if job.state is JobState.ABORTED:
+                    office.cancellations.add(job.id, job.submitted, wall)
             except (BadMessage, ValueError, TypeError) as exc:
                 log.error("%s unreadable: %s", over.key, exc)
     recovery.take_over(realm, jobs, intents, await curio.clock())
--- a/topazhold/control/telling.py
+++ b/topazhold/control/telling.py
@@ -13,6 +13,7 @@
 from topazhold.control.store import DECISIONS, TROUBLE, Conflict
 from topazhold.core import records
 from topazhold.core.jobs import JobState, RunState
+from topazhold.core.machines import Machine
 from topazhold.core.preemption import turn
 from topazhold.core.search import cut_summary, pack_names
 from topazhold.wire import messages as wire
@@ -22,6 +23,15 @@
 
 #: Running counts told in the summary; they are for display.
 MOST_TOLD = 60
+#: Machines in one message of where tasks may be, and the messages in which each is named
+#: at least once.
+MOST_PLACED = 500
+RETELL_ROUNDS = 16
+
+
+def _place(machine: Machine) -> list[Any]:
+    jobs = sorted({job for job, _ in machine.runs})
+    return [machine.name, machine.endpoint, jobs]
 
 
 class Telling:
@@ -34,6 +44,34 @@
         self._office = office
         self._summary_s = summary_s
         self._tell = tell
+        self._told: dict[str, tuple[int, str | None]] = {}  # machine -> changes, endpoint
+        self._rounds = 0
+
+    def placed(self) -> list[list[Any]]:
+        """Every machine: its name, endpoint, and the jobs whose tasks may be there."""
+        return [_place(machine) for machine in self._office.realm.machines.values()]
+
+    def tell_anew(self) -> None:
+        """Tell of every machine once more."""
+        self._told.clear()
+
+    def placed_news(self) -> list[list[Any]]:
+        """Machines that have changed, and a few others in turn, for who missed them."""
+        machines = self._office.realm.machines
+        self._rounds += 1
+        items: list[list[Any]] = []
+        for number, machine in enumerate(machines.values()):
+            state = (machine.changes, machine.endpoint)
+            stale = self._told.get(machine.name) != state
+            if stale or (number + self._rounds) % RETELL_ROUNDS == 0:
+                if len(items) >= MOST_PLACED:
+                    break
+                self._told[machine.name] = state
+                items.append(_place(machine))
+        for name in [name for name in self._told if name not in machines]:
+            del self._told[name]
+            items.append([name, None, None])
+        return items
 
     def view(self, now: float) -> View:
         """The fleet for this node's own searches, fresh."""
@@ -95,6 +133,9 @@
             now = await curio.clock()
             values = self.summary(now)
             await self._tell(("summary", self._office.crown, values))
+            items = self.placed_news()
+            if items:
+                await self._tell(("placed", self._office.crown, items))
             if now - written_at >= self._summary_s:
                 written_at = now
                 then = self._stored(values)
--- a/topazhold/control/users.py
+++ b/topazhold/control/users.py
@@ -44,6 +44,7 @@
     def __init__(
         self, settings: Settings, store: Store, breeds: dict[str, Breed],
         accepted: Callable[[Job], Awaitable[None]], running: Callable[[str], int],
+        cancelled: Callable[[str, float], Awaitable[None]],
     ) -> None:  # fmt: skip
         self._node = settings.node_name
         self._teams = {team.name: team for team in settings.cluster.teams}
@@ -52,6 +53,7 @@
         self._breeds = breeds
         self._accepted = accepted
         self._running = running
+        self._cancelled = cancelled  # told before any user is
         self._final: OrderedDict[str, str] = OrderedDict()
         self._busy = 0
         self._sequence = 0
@@ -187,6 +189,8 @@
         if entry is None:
             return None
         stage = records.over_stage(entry.data)
+        if stage == wire.ABORTED:
+            await self._cancelled(job_id, records.over_at(entry.data, time.time()))
         self._keep_final(job_id, stage)
         return Answer(200, wire.job_answer(job_id, stage))
 
@@ -205,7 +209,8 @@
             if entry is None:
                 return await self._poll(job_id)
             token = self._token()
-            value = records.over_value(entry.data["spec"], wire.ABORTED, time.time(), token)
+            at = time.time()
+            value = records.over_value(entry.data["spec"], wire.ABORTED, at, token)
             try:
                 await self._store.commit(
                     [(live, entry.mark), (over, 0)], [wire.drop(live), wire.put(over, value)],
@@ -213,6 +218,7 @@
                 )  # fmt: skip
             except Conflict:
                 continue  # the queen saved progress, or another cancel came first
+            await self._cancelled(job_id, at)
             self._keep_final(job_id, wire.ABORTED)
             log.info("job %s aborted by its user", job_id)
             return Answer(200, wire.job_answer(job_id, wire.ABORTED))
--- /dev/null
+++ b/topazhold/core/placements.py
@@ -0,0 +1,84 @@
+"""Where tasks may be, as a controller knows it that does not lead.
+
+Hints, for one purpose: to end the tasks of cancelled jobs when no leader can.
+They come from what the leader tells of the machines that change, and from the
+reports that this controller answers itself.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Any
+
+from topazhold.wire import messages as wire
+from topazhold.wire.messages import ListedBox, Report
+
+#: Machines known; the leader's list is bounded by what she can use.
+MOST_MACHINES = 10_000
+
+
+class Place:
+    """One machine: how to reach it, and whose tasks may be on it."""
+
+    __slots__ = ("endpoint", "jobs", "flight", "tally", "looks")
+
+    def __init__(self, endpoint: str | None) -> None:
+        self.endpoint = endpoint
+        self.jobs: frozenset[str] = frozenset()
+        self.flight = 0
+        self.tally = -1
+        self.looks = 0.0  # when it was last looked at, on the steady clock
+
+
+class Placements:
+    """All machines of which this controller has heard."""
+
+    def __init__(self) -> None:
+        self.term = 0
+        self.places: dict[str, Place] = {}
+
+    def _place(self, name: str, endpoint: str | None) -> Place:
+        place = self.places.get(name)
+        if place is None:
+            place = self.places[name] = Place(endpoint)
+            if len(self.places) > MOST_MACHINES:
+                del self.places[next(iter(self.places))]
+        elif endpoint:
+            place.endpoint = endpoint
+        return place
+
+    def told(self, term: int, items: Iterable[Any]) -> None:
+        """What a leader tells: machine, endpoint, and jobs, or None if it is gone."""
+        if term < self.term:
+            return
+        self.term = term
+        for name, endpoint, jobs in items:
+            if jobs is None:
+                self.places.pop(name, None)
+            else:
+                self._place(str(name), endpoint).jobs = frozenset(map(str, jobs))
+
+    def seen(self, rep: Report) -> None:
+        """A worker's own word; an older one than is known says nothing."""
+        place = self._place(rep.box, rep.endpoint)
+        if (rep.flight, rep.tally) <= (place.flight, place.tally):
+            return
+        place.flight, place.tally = rep.flight, rep.tally
+        place.jobs = frozenset(
+            frame.frame.partition("/")[0] for frame in rep.frames if frame.stage != wire.ENDED
+        )
+
+    def listed(self, boxes: Iterable[ListedBox]) -> None:
+        """The cloud's list: machines that nobody has told of."""
+        for box in boxes:
+            if box.endpoint is not None:
+                self._place(box.id, box.endpoint)
+
+    def gone(self, name: str) -> None:
+        self.places.pop(name, None)
+
+    def may_hold(self, jobs: frozenset[str]) -> dict[str, frozenset[str]]:
+        """Machines that may hold tasks of these jobs, with which."""
+        return {
+            name: held for name, place in self.places.items() if (held := place.jobs & jobs)
+        }
--- a/topazhold/core/records.py
+++ b/topazhold/core/records.py
@@ -100,6 +100,12 @@
     return wire.DONE if done else wire.ABORTED
 
 
+def over_at(data: Any, otherwise: float) -> float:
+    """When the job ended, by the time of day."""
+    at = data.get("at") if isinstance(data, dict) else None
+    return float(at) if isinstance(at, int | float) else otherwise
+
+
 def on_value(machines: Iterable[Machine], token: str) -> Any:
     """A shelf's intents: everything that may be, or may come to be, on its machines."""
     boxes = {}
--- a/topazhold/core/stopping.py
+++ b/topazhold/core/stopping.py
@@ -33,11 +33,12 @@
 
     def job_over(self, job_id: str, done: bool, over_at: float, now: float) -> None:
         """The job was moved to `over`, by this node or another."""
+        # Also one that is not known here yet: news of its submission may come later.
+        self._remember(self._over, job_id)
         job = self.jobs.get(job_id)
         if job is None or job.state is not JobState.LIVE:
             return
         self._guaranteed_stale = True
-        self._remember(self._over, job_id)
         if done:
             job.finish()
             log.info("job %s done", job_id)
--- a/topazhold/io/http.py
+++ b/topazhold/io/http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections import OrderedDict
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -272,6 +273,30 @@
                 raise OSError("closed")
 
 
+class Clients:
+    """Clients of many addresses; those used longest ago are given up."""
+
+    def __init__(self, dial: Callable[[tuple[str, int], int], Client], most: int) -> None:
+        self._dial = dial
+        self._most = most
+        self._of: OrderedDict[tuple[str, int], Client] = OrderedDict()
+
+    async def at(self, address: tuple[str, int], busy: int) -> Client:
+        """The client of an address; `busy` of all are in use and come on top of the bound."""
+        client = self._of.get(address)
+        if client is None:
+            client = self._of[address] = self._dial(address, 1)
+        self._of.move_to_end(address)
+        while len(self._of) > self._most + busy:
+            _, oldest = self._of.popitem(last=False)
+            await oldest.close()
+        return client
+
+    async def close(self) -> None:
+        for client in self._of.values():
+            await client.close()
+
+
 async def connect(address: tuple[str, int], timeout_s: float) -> Any:
     """Open a TCP connection to a numeric address; raises NotSent."""
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
--- a/topazhold/wire/messages.py
+++ b/topazhold/wire/messages.py
@@ -12,6 +12,7 @@
 HEALTH_PATH = "/healthz"
 REPORT_PATH = "/v1/report"
 COMMANDS_PATH = "/commands"
+STATUS_PATH = "/status"
 CATALOG_PATH = "/catalog"
 MACHINES_PATH = "/machines"
 RELEASE_PATH = "/machines/release"
@@ -39,6 +40,10 @@
 FLUSHING = "flushing"
 ENDED = "ended"
 
+LAUNCH = "launch"
+KILL = "kill"
+CLEAR = "clear"
+
 CAUSE_DONE = "done"
 CAUSE_ERROR = "error"
 CAUSE_NO_ROOM = "no_room"
@@ -133,15 +138,15 @@
 
 
 def launch(frame: str, attempt: int) -> Call:
-    return Call("launch", frame, attempt)
+    return Call(LAUNCH, frame, attempt)
 
 
 def kill(frame: str, attempt: int, settle_s: float) -> Call:
-    return Call("kill", frame, attempt, settle_s)
+    return Call(KILL, frame, attempt, settle_s)
 
 
 def clear(frame: str, attempt: int) -> Call:
-    return Call("clear", frame, attempt)
+    return Call(CLEAR, frame, attempt)
 
 
 class Orders(msgspec.Struct, omit_defaults=True):
