A controller looks for itself only once no leader has seen to a cancellation a while

Now a cancellation has to be left alone for 0.1 of cancel_s before anybody looks, and for 0.2 before a machine goes, but for the last moment (0.8 after the confirmation).

--- a/tests/test_cancellations.py
+++ b/tests/test_cancellations.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -13,7 +14,7 @@
 import pytest
 
 from tests.scenes import SITES, Scene, assert_rules, play_scene
-from tests.standins import Worker, start_node
+from tests.standins import VirtualTime, Worker, run_virtual, settings_for, start_node
 from topazhold.control.enforcing import Enforcer
 from topazhold.control.node import Node
 from topazhold.core.cancellations import MOST_TOLD, Cancellations
@@ -320,3 +321,44 @@
     assert placements.may_hold(frozenset(["wk-1"])) == {}
     placements.told(2, [["host-1", "h:1", ["wk-1"]]])
     assert placements.may_hold(frozenset(["wk-1"])) == {}, "an earlier leader's word"
+
+
+def test_former_leader_does_not_release_what_her_successor_sees_to(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Deposed, she had three machines released within a moment, of jobs cancelled 20 s before."""
+    released: list[tuple[float, list[str]]] = []
+    seen_to = {"wk-1": False}
+
+    class Cloud:
+        async def machines(self) -> list[Any]:
+            return []
+
+        async def release(self, names: list[str]) -> None:
+            released.append((await curio.clock(), names))
+
+    async def main(clock: VirtualTime) -> None:
+        settings = settings_for("hive-0", "a", [])
+        cancel_s = settings.cluster.workers.cancel_s
+        record = Cancellations("b", cancel_s, settings.cluster.workers.lease_s)
+        placements = Placements()
+        placements.told(3, [["host-1", None, ["wk-1"]], ["host-2", None, ["wk-2"]]])
+        enforcer = Enforcer(
+            settings, record, placements, Cloud(), None,  # type: ignore[arg-type]
+            lambda job, now: seen_to[job],
+        )  # fmt: skip
+        record.add("wk-1", time.time() - 0.65 * cancel_s, time.time())
+        for _ in range(15):
+            await enforcer.round()
+            await curio.sleep(0.01 * cancel_s)
+        assert released == []
+        seen_to["wk-1"] = True
+        await enforcer.round()
+        await curio.sleep(0.01 * cancel_s)
+        seen_to["wk-1"] = False
+        for _ in range(14):
+            await enforcer.round()
+            await curio.sleep(0.01 * cancel_s)
+        assert [names for _, names in released] == [["host-1"]], "at the last moment"
+
+    run_virtual(main, monkeypatch)
--- a/topazhold/control/enforcing.py
+++ b/topazhold/control/enforcing.py
@@ -26,13 +26,18 @@
 
 log = logging.getLogger(__name__)
 
-#: Shares of `cancel_s` after the confirmation: when a controller begins to look for
-#: itself, after how long it looks again where a task may be, when a task that can't be
-#: shown to be gone takes its machine with it, and when nothing is left to do.
+#: Shares of `cancel_s`. A controller looks for itself once no leader has seen to a
+#: cancellation for so long: an ordinary change of leader takes less. It looks again
+#: where a task may be after so long.
 LOOK_SHARE = 0.1
 AGAIN_SHARE = 0.08
+#: After the confirmation, a task that can't be shown to be gone takes its machine with
+#: it; a controller that has only just begun to look gives it some time more, up to a
+#: last moment. Later than the end nothing is left to do.
 RELEASE_SHARE = 0.6
-END_SHARE = 2.0
+PATIENCE_SHARE = 0.2
+LAST_SHARE = 0.8
+END_SHARE = 1.25
 #: Machines that are not known to hold such a task are looked at so many times: a launch
 #: may have been on its way at the first.
 SWEEPS = 2
@@ -58,22 +63,36 @@
         self._most = max(4, int(settings.cluster.limits.sockets * LOOKING_SHARE))
         self._looking: set[str] = set()
         self._clients = Clients(dial, self._most)
+        self._left_since: dict[str, float] = {}  # jobs that no leader sees to, since when
         self._listed_at = -1e9
         self._releasing = False
 
     async def loop(self) -> None:
         while True:
-            await curio.sleep(0.1 * self._report_s)
+            await curio.sleep(0.2 * self._report_s)
             await self.round()
 
     def open(self, now: float) -> dict[str, float]:
         """Cancelled jobs that are left to this controller, by their age."""
         wall = time.time()
-        return {
+        ages = {
             job: wall - at
             for job, at in self._cancellations.since(wall - END_SHARE * self._cancel_s)
-            if wall - at > LOOK_SHARE * self._cancel_s and not self._seen_to(job, now)
+            if not self._seen_to(job, now)
         }
+        self._left_since = {job: self._left_since.get(job, now) for job in ages}
+        look_s = LOOK_SHARE * self._cancel_s
+        return {job: age for job, age in ages.items() if now - self._left_since[job] > look_s}
+
+    def _must_go(self, job: str, age: float, now: float) -> bool:
+        """Whether a machine that may hold the job's task is to be released.
+
+        Just after a change of leader the former one knew of machines that her successor
+        was about to see to, and released them unasked.
+        """
+        looked = now - self._left_since[job] > PATIENCE_SHARE * self._cancel_s
+        late = age > LAST_SHARE * self._cancel_s
+        return age > RELEASE_SHARE * self._cancel_s and (looked or late)
 
     async def round(self) -> None:
         """Begin the looks and the release that are due."""
@@ -86,13 +105,13 @@
         await self._release(
             [
                 name for name, jobs in held.items()
-                if max(ages[job] for job in jobs) > RELEASE_SHARE * self._cancel_s
+                if any(self._must_go(job, ages[job], now) for job in jobs)
             ]
         )  # fmt: skip
         again_s = AGAIN_SHARE * self._cancel_s
-        # The newest confirmation began at this time; every machine is looked at some
-        # time after it, and once more.
-        newest = now - min(ages.values())
+        # Every machine is looked at some time after the last of them was left to this
+        # controller, and once more.
+        newest = max(self._left_since[job] for job in ages)
         sweeps = [newest + (1 + n) * LOOK_SHARE * self._cancel_s for n in range(SWEEPS)]
         first: list[str] = []
         others: list[str] = []
@@ -100,7 +119,7 @@
             if place.endpoint is None or name in self._looking:
                 continue
             if name in held:
-                if now - place.looks > again_s:
+                if place.looks < newest or now - place.looks > again_s:
                     first.append(name)
             elif any(place.looks < at <= now for at in sweeps):
                 others.append(name)
