--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -33,11 +33,11 @@
 class Bench:
     """A realm with ready machines, driven by hand."""
 
-    def __init__(self, machines: int = 4, crown: int = 5) -> None:
+    def __init__(self, machines: int = 4, term: int = 5) -> None:
         self.now = 100.0
         settings = settings_for("hive-0", "a", [])
         self.book = HoldBook("hive-0")
-        self.realm = Realm(settings, Operator(), crown, self.book, Random(1), self.now)
+        self.realm = Realm(settings, Operator(), term, self.book, Random(1), self.now)
         self.realm.breeds = {"b1": BREED}
         self.tallies: dict[str, int] = {}
         self.frames: dict[str, dict[tuple[str, int], FrameReport]] = {}
@@ -63,7 +63,7 @@
         return runs
 
     def report(
-        self, name: str, zone: str = "a", crown: int | None = None, flight: int = 1,
+        self, name: str, zone: str = "a", term: int | None = None, flight: int = 1,
         smoke_s: float | None = None, carry_out: bool = True,
     ) -> list[Call]:  # fmt: skip
         """A worker's report of the frames that it has, and the commands it gets."""
@@ -72,7 +72,7 @@
         machine = self.realm.machines.get(name)
         rep = Report(
             name, f"{name}:9", "b1", machine.zone if machine else zone, False, flight,
-            self.tallies[name], self.realm.crown if crown is None else crown,
+            self.tallies[name], self.realm.term if term is None else term,
             list(frames.values()), smoke_s,
         )  # fmt: skip
         heard = self.realm.report(rep, False, self.now)
--- a/tests/scenes.py
+++ b/tests/scenes.py
@@ -80,8 +80,8 @@
     def leader(self) -> str | None:
         """The loaded leader with the newest token."""
         leading = [
-            (node.reign.crown, name) for name, node in self.nodes.items()
-            if node.reign is not None and node.reign.loaded
+            (node.leading.term, name) for name, node in self.nodes.items()
+            if node.leading is not None and node.leading.loaded
         ]  # fmt: skip
         return max(leading)[1] if leading else None
 
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -377,7 +377,7 @@
         self.host = f"{name}:9000"
         self.flight = 1
         self.tally = 0
-        self.crown = 0
+        self.term = 0
         self.tasks: dict[tuple[str, int], Task] = {}
         self.images: set[str] = set()
         self.up = False
@@ -436,7 +436,7 @@
         return {
             "box": self.name, "endpoint": self.host, "breed": "b1", "apiary": self.zone,
             "drones": self.spot, "flight": self.flight, "tally": self.tally,
-            "crown": self.crown, "smoke_s": smoke, "frames": frames,
+            "crown": self.term, "smoke_s": smoke, "frames": frames,
         }  # fmt: skip
 
     async def run(self) -> None:
@@ -513,10 +513,10 @@
         if status != 200:
             self.node += 1
             return 1.0
-        if answer["crown"] < self.crown:
+        if answer["crown"] < self.term:
             return float(world.settings.cluster.workers.report_s)
-        if answer["crown"] > self.crown:
-            self.crown = answer["crown"]
+        if answer["crown"] > self.term:
+            self.term = answer["crown"]
             self.changed = True
         self.lease_from = sent
         self.answered_by[target] = world.clock.now
@@ -534,10 +534,10 @@
         self.late_commands += late and path == "/commands"
         if path != "/commands":
             return 200, self.report()
-        if body["crown"] < self.crown or body["flight"] != self.flight:
+        if body["crown"] < self.term or body["flight"] != self.flight:
             return 409, self.report()
-        if body["crown"] > self.crown:
-            self.crown = body["crown"]
+        if body["crown"] > self.term:
+            self.term = body["crown"]
             self.changed = True
         self._carry_out(body["calls"])
         return 200, self.report()
--- a/tests/test_broken_variants.py
+++ b/tests/test_broken_variants.py
@@ -20,7 +20,7 @@
 
 
 def forget_intents(patch: pytest.MonkeyPatch) -> None:
-    """A new queen that does not believe in her predecessor's intents."""
+    """A new leader that does not believe in her predecessor's intents."""
     patch.setattr(recovery, "_adopt", lambda *args: None)
     patch.setattr(Realm, "_stray", lambda *args: None)
 
@@ -121,7 +121,7 @@
 
 
 VARIANTS: list[tuple[Patch, str, list[str]]] = [
-    (forget_intents, "ran_twice", ["crash_queen", "hang", "machine_cut"]),
+    (forget_intents, "ran_twice", ["crash_leader", "hang", "machine_cut"]),
     (trust_silence, "ran_twice", ["hang", "machine_cut", "zones_cut"]),
     (no_limit, "quota", []),
     (any_place, "wrong_place", []),
--- a/tests/test_cancellations.py
+++ b/tests/test_cancellations.py
@@ -171,7 +171,7 @@
         def new() -> bool:
             elected[:] = [
                 name for name, node in scene.nodes.items()
-                if name != old and node.reign is not None
+                if name != old and node.leading is not None
             ]  # fmt: skip
             return bool(elected)
 
@@ -179,10 +179,10 @@
             await curio.sleep(0.001)
         scene.state.set_down(True)
         scene.state.refused.clear()
-        reign = scene.nodes[elected[0]].reign
-        assert not reign.loaded
+        leading = scene.nodes[elected[0]].leading
+        assert not leading.loaded
         await curio.sleep(scene.workers.cancel_s + scene.workers.lease_s)
-        assert scene.nodes[elected[0]].reign is reign and not reign.loaded
+        assert scene.nodes[elected[0]].leading is leading and not leading.loaded
 
     scene = play_scene(act, monkeypatch, site)
     assert_rules(scene)
@@ -202,7 +202,7 @@
         confirmer = scene.others(leader)[0]
         for _ in range(4):
             job = await scene.submit(confirmer)
-            realm = scene.nodes[leader].reign.realm
+            realm = scene.nodes[leader].leading.realm
             want = scene.rng.choice(["written", "ordered", "pulling"])
 
             def reached(
@@ -256,7 +256,7 @@
     no_enforcer(monkeypatch)
     assert gap(leader_ends, monkeypatch, "hive").broken == []
     monkeypatch.setattr(
-        Node, "_answer_kept", lambda self, rep, crown: Answer(200, Orders(crown, []))
+        Node, "_answer_kept", lambda self, rep, term: Answer(200, Orders(term, []))
     )
     assert "ran_cancelled" in gap(leader_ends, monkeypatch, "hive").broken
 
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -63,7 +63,7 @@
 
         await scene.until(placed_again, 60.0)
         status, answer = await scene.request(new, "POST", "/v1/report", held)
-        assert scene.nodes[new].reign.crown > held["crown"], "from before her time"
+        assert scene.nodes[new].leading.term > held["crown"], "from before her time"
         launches = [call for call in (answer or {}).get("calls", []) if call["call"] == "launch"]
         assert status in (200, 421) and launches == []
         await curio.sleep(30.0)
@@ -88,7 +88,7 @@
         held = {**held, "tally": 10_000}  # the newest that she hears, and yet from before her
         await scene.request(new, "POST", "/v1/report", held)
         run = [
-            run for run in scene.nodes[new].reign.realm.jobs[job].runs.values()
+            run for run in scene.nodes[new].leading.realm.jobs[job].runs.values()
             if run.machine == first.name
         ]
         assert len(run) == 1 and run[0].present, "it still counts as possibly running"
@@ -110,12 +110,12 @@
         await scene.end(two)
         await scene.back(two, 0.05)
         three = await scene.new_leader(None)
-        crown = scene.nodes[three].reign.crown
+        term = scene.nodes[three].leading.term
         for name in list(scene.nodes):
             await scene.end(name)
         await scene.back(three, 0.4)
         again = await scene.new_leader(None)
-        assert again == three and scene.nodes[again].reign.crown > crown
+        assert again == three and scene.nodes[again].leading.term > term
         for name in scene.names:
             await scene.back(name, 0.5)
         await coming.join()
@@ -172,17 +172,17 @@
                 scene.task_s[(name, index)] = 4.0 + 22.0 * index
             jobs.append(await scene.submit(leader, run_s=1.0, frames=frames, cards=2.0))
             assert jobs[-1] == name
-        crowns = set()
+        terms = set()
         for _ in range(3):
             done = len(scene.results)
             await scene.until(lambda done=done: len(scene.results) > done, 80.0)  # type: ignore[misc]
             ended = scene.leader()
             assert ended is not None
-            crowns.add(scene.nodes[ended].reign.crown)
+            terms.add(scene.nodes[ended].leading.term)
             await scene.end(ended)
             await scene.back(ended, 1.0)
             await scene.new_leader(None)
-        assert len(crowns) == 3
+        assert len(terms) == 3
         for job in jobs:
             while scene.told[job] != "done":
                 await scene.poll(job, scene.rng.choice(list(scene.nodes)))
@@ -200,10 +200,10 @@
         await scene.begin()
         coming = await curio.spawn(scene.users_come, 40, 90.0, daemon=True)
         began = scene.clock.now
-        crowns = set()
+        terms = set()
         for number in range(11):
             leader = await scene.new_leader(None)
-            crowns.add(scene.nodes[leader].reign.crown)
+            terms.add(scene.nodes[leader].leading.term)
             await curio.sleep(scene.rng.uniform(0.5, 6.0))
             if number in (3, 7):
                 scene.state.set_down(True)
@@ -213,7 +213,7 @@
             if scene.state.down:
                 await curio.sleep(6.0)
                 scene.state.set_down(False)
-        assert len(crowns) >= 10 and scene.clock.now - began < 120.0
+        assert len(terms) >= 10 and scene.clock.now - began < 120.0
         await coming.join()
         await scene.all_over()
 
@@ -305,7 +305,7 @@
         await scene.end(old)
         new = await scene.new_leader(old)
         await curio.sleep(1.0)
-        assert cut.present() and unhearing.crown < scene.nodes[new].reign.crown
+        assert cut.present() and unhearing.term < scene.nodes[new].leading.term
         await scene.users_come(10, 1.2 * scene.workers.lease_s)
         scene.net.cuts.clear()
         await scene.back(old)
--- a/tests/test_random_days.py
+++ b/tests/test_random_days.py
@@ -9,14 +9,14 @@
 from tests.standins import VirtualTime, run_virtual
 from tests.world import World
 
-CONTROLLERS = ["crash", "crash", "crash_queen", "crash_all", "roll", "crash_election"]
+CONTROLLERS = ["crash", "crash", "crash_leader", "crash_all", "roll", "crash_election"]
 NETWORK = [
-    "zones_cut", "node_cut", "node_off_state", "machine_cut", "queen_off_zone", "loss",
-    "node_off_all_but_workers", "queen_off_all_but_workers", "late_copies",
+    "zones_cut", "node_cut", "node_off_state", "machine_cut", "leader_off_zone", "loss",
+    "node_off_all_but_workers", "leader_off_all_but_workers", "late_copies",
 ]
-OUTSIDE = ["state_down", "state_refused", "queen_refused", "cloud_down"]
+OUTSIDE = ["state_down", "state_refused", "leader_refused", "cloud_down"]
 MACHINES = ["hang", "hang", "notice", "taken", "sick", "deaf", "deaf_zone", "blink"]
-MANY = ["mass_hang", "mass_die", "freeze", "freeze_queen", "peers_refuse", "state_slow"]
+MANY = ["mass_hang", "mass_die", "freeze", "freeze_leader", "peers_refuse", "state_slow"]
 ALL = CONTROLLERS + NETWORK + OUTSIDE + MACHINES
 
 DAYS = [
@@ -27,25 +27,25 @@
     (5, MACHINES),
     (6, ALL),
     (7, ALL),
-    (8, ["loss", "crash_queen", "hang"]),
+    (8, ["loss", "crash_leader", "hang"]),
     (9, ["state_down", "roll", "zones_cut"]),
-    (10, ["queen_refused", "queen_off_zone", "notice"]),
+    (10, ["leader_refused", "leader_off_zone", "notice"]),
     (11, ["deaf"]),
-    (12, ["deaf", "deaf_zone", "late_copies", "crash_queen"]),
-    (13, ["late_copies", "taken", "crash_queen", "crash_election"]),
-    (14, ["node_off_all_but_workers", "queen_off_all_but_workers"]),
-    (16, ["freeze", "freeze_queen", "hang", "late_copies"]),
-    (17, ["mass_hang", "mass_die", "crash_all", "freeze_queen"]),
+    (12, ["deaf", "deaf_zone", "late_copies", "crash_leader"]),
+    (13, ["late_copies", "taken", "crash_leader", "crash_election"]),
+    (14, ["node_off_all_but_workers", "leader_off_all_but_workers"]),
+    (16, ["freeze", "freeze_leader", "hang", "late_copies"]),
+    (17, ["mass_hang", "mass_die", "crash_all", "freeze_leader"]),
     (18, ["state_slow", "peers_refuse", "roll", "mass_die"]),
-    (19, ["freeze_queen", "machine_cut", "zones_cut", "mass_hang"]),
+    (19, ["freeze_leader", "machine_cut", "zones_cut", "mass_hang"]),
     (20, ALL + MANY),
-    (22, ["late_writes", "crash_queen", "odd_requests", "cancel_at_end"]),
-    (23, ["refused_then_down", "mute", "hang", "crash_queen"]),
-    (24, ["late_writes", "late_copies", "mute", "deaf", "queen_off_all_but_workers"]),
-    (25, ["refused_then_down", "peers_refuse", "freeze_queen", "state_slow", "cancel_at_end"]),
+    (22, ["late_writes", "crash_leader", "odd_requests", "cancel_at_end"]),
+    (23, ["refused_then_down", "mute", "hang", "crash_leader"]),
+    (24, ["late_writes", "late_copies", "mute", "deaf", "leader_off_all_but_workers"]),
+    (25, ["refused_then_down", "peers_refuse", "freeze_leader", "state_slow", "cancel_at_end"]),
     (26, ["late_writes", "crash_election", "roll", "zones_cut", "odd_requests"]),
     (27, ["refused_then_down", "crash_all", "machine_cut", "late_copies"]),
-    (15, ["queen_off_all_but_workers", "crash_election", "blink", "late_copies"]),
+    (15, ["leader_off_all_but_workers", "crash_election", "blink", "late_copies"]),
 ]
 
 
@@ -80,7 +80,7 @@
 def test_rules_hold_in_a_fleet(monkeypatch: pytest.MonkeyPatch) -> None:
     """Large enough to pass what stood for smaller fleets: 40 names and 60 gangs told, 48
     holds, 16 commands, 100 names unheard or released, 64 guards."""
-    kinds = ["mass_hang", "mass_die", "crash_all", "freeze_queen", "zones_cut", "peers_refuse"]
+    kinds = ["mass_hang", "mass_die", "crash_all", "freeze_leader", "zones_cut", "peers_refuse"]
     world = play(
         21, kinds, monkeypatch, jobs=300, trouble_s=15.0, calm_s=150.0, capacity=270, limit=20.0
     )
--- a/tests/test_realm.py
+++ b/tests/test_realm.py
@@ -1,4 +1,4 @@
-"""The queen's decisions, one at a time."""
+"""The leader's decisions, one at a time."""
 
 from __future__ import annotations
 
@@ -286,22 +286,22 @@
     assert bench.realm.machines[run.machine].state is MachineState.DRAINING
 
 
-def test_takeover_waits_for_a_report_under_the_new_crown() -> None:
-    """An intent may be running until its machine has reported under this crown."""
-    bench = Bench(machines=0, crown=8)
+def test_takeover_waits_for_a_report_under_the_new_term() -> None:
+    """An intent may be running until its machine has reported under this term."""
+    bench = Bench(machines=0, term=8)
     job = Job(make_spec(shape="batch", frames=1), bench.now, 1e9, "hive-0")
     intents = [Intents("host-0", 1, "a", False, "b1", [("wk-000001", 0, 77)])]
     recovery.take_over(bench.realm, [job], intents, bench.now)
     bench.report("host-1")
     assert bench.plan() == []
-    bench.report("host-0", crown=7)  # written before the worker saw the new crown
+    bench.report("host-0", term=7)  # written before the worker saw the new term
     assert bench.plan() == []
     bench.report("host-0")
     assert [run.index for run in bench.plan()] == [0]
 
 
 def test_takeover_counts_aborted_jobs_tasks() -> None:
-    bench = Bench(machines=0, crown=8)
+    bench = Bench(machines=0, term=8)
     job = Job(make_spec(shape="batch", frames=1), bench.now, 1e9, "hive-0")
     job.abort(bench.now)
     intents = [Intents("host-0", 1, "a", False, "b1", [("wk-000001", 0, 77)])]
@@ -368,9 +368,9 @@
     assert [new.machine != run.machine for new in bench.plan()] == [True]
 
 
-def test_new_queen_hears_the_workers_before_she_releases_for_a_cancelled_job() -> None:
+def test_new_leader_hears_the_workers_before_she_releases_for_a_cancelled_job() -> None:
     """A stale intent of a job long gone once cost four machines at a takeover."""
-    bench = Bench(machines=0, crown=8)
+    bench = Bench(machines=0, term=8)
     job = Job(make_spec(shape="batch", frames=1), bench.now, 1e9, "hive-0")
     job.abort(bench.now - 0.7 * bench.realm.cancel_s)
     intents = [Intents("host-0", 1, "a", False, "b1", [("wk-000001", 0, 77)])]
@@ -383,7 +383,7 @@
 
 
 def test_takeover_while_a_gang_is_stopped_lets_it_save() -> None:
-    bench = Bench(machines=0, crown=8)
+    bench = Bench(machines=0, term=8)
     job = Job(make_spec(frames=2), bench.now, 1e9, "hive-0")
     intents = [
         Intents("host-0", 1, "a", False, "b1", [("wk-000001", 0, 77)]),
@@ -468,16 +468,16 @@
     assert not bench.realm.machines["host-0"].deaf
 
 
-def test_newer_session_settles_an_earlier_reigns_intents() -> None:
-    """A deaf machine never reports under the new crown; its tasks must not wait for that."""
-    bench = Bench(machines=0, crown=8)
+def test_newer_session_settles_an_earlier_terms_intents() -> None:
+    """A deaf machine never reports under the new term; its tasks must not wait for that."""
+    bench = Bench(machines=0, term=8)
     job = Job(make_spec(shape="batch", frames=1), bench.now, 1e9, "hive-0")
     intents = [Intents("host-0", 3, "a", False, "b1", [("wk-000001", 0, 77)])]
     recovery.take_over(bench.realm, [job], intents, bench.now)
     bench.report("host-1")
-    bench.report("host-0", crown=7, flight=3)
+    bench.report("host-0", term=7, flight=3)
     assert bench.plan() == [], "the same session proves nothing"
-    bench.report("host-0", crown=7, flight=4)
+    bench.report("host-0", term=7, flight=4)
     assert [run.machine for run in bench.plan()] == ["host-1"]
 
 
@@ -489,10 +489,10 @@
     assert launched(bench.report(run.machine)) == []
 
 
-def test_late_copy_to_a_new_queen_brings_no_machine_back() -> None:
+def test_late_copy_to_a_new_leader_brings_no_machine_back() -> None:
     """She can't know that it was released: it must not count as capacity."""
-    bench = Bench(machines=1, crown=8)
-    bench.report("host-9", crown=7)
+    bench = Bench(machines=1, term=8)
+    bench.report("host-9", term=7)
     machine = bench.realm.machines["host-9"]
     assert not counted(machine) and counted(bench.realm.machines["host-0"])
     assert bench.realm.directory() == [("host-0", "a")]
@@ -586,7 +586,7 @@
     assert preemption.turn(slow) < preemption.turn(quick), "until it presses"
 
 
-def test_no_launch_from_a_queen_whose_grant_may_have_passed_on(bench: Bench) -> None:
+def test_no_launch_from_a_leader_whose_grant_may_have_passed_on(bench: Bench) -> None:
     bench.job(make_spec(shape="batch", frames=1))
     (run,) = bench.plan()
     bench.tallies[run.machine] += 1
@@ -612,9 +612,9 @@
 
 
 def test_zone_that_comes_back_is_neither_deaf_nor_released() -> None:
-    """After a cut of minutes a zone's first reports named the old crown: all were taken
+    """After a cut of minutes a zone's first reports named the old term: all were taken
     for deaf, and those that came a moment later were released as silent."""
-    bench = Bench(machines=0, crown=8)
+    bench = Bench(machines=0, term=8)
     names = [f"host-{number}" for number in range(8)]
     intents = [
         Intents(name, 1, "a", False, "b1", [("wk-000001", number, 77)])
@@ -626,7 +626,7 @@
         bench.now += 1.0
         bench.realm.tick(bench.now)
     for name in names[:6]:
-        bench.report(name, crown=7)
+        bench.report(name, term=7)
         assert not bench.realm.machines[name].deaf
     for _ in range(8):
         bench.now += 1.0
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -1,4 +1,4 @@
-"""Which workers a follower keeps when the queen can't reach them."""
+"""Which workers a follower keeps when the leader can't reach them."""
 
 from __future__ import annotations
 
@@ -8,42 +8,42 @@
 
 
 def report(
-    crown: int = 7, box: str = "host-1", zone: str = "a", busy: bool = False
+    term: int = 7, box: str = "host-1", zone: str = "a", busy: bool = False
 ) -> Report:
     frames = [FrameReport("wk-1/0", 1, "running")] if busy else []
-    return Report(box, "h:1", "b1", zone, False, 1, 1, crown, frames)
+    return Report(box, "h:1", "b1", zone, False, 1, 1, term, frames)
 
 
-def follower(queen: str | None = "hive-1", crown: int = 7) -> tuple[Shelter, Leadership]:
+def follower(leader: str | None = "hive-1", term: int = 7) -> tuple[Shelter, Leadership]:
     lead = Leadership("hive-0")
-    lead.crown, lead.queen = crown, queen
+    lead.term, lead.leader = term, leader
     return Shelter(lead, "a", 2, grant_s=2.0, lease_s=10.0, now=0.0), lead
 
 
-def test_sends_workers_to_a_queen_that_lives() -> None:
+def test_sends_workers_to_a_leader_that_lives() -> None:
     shelter, _ = follower()
     shelter.heard("hive-1", True, [], 5.0)
     assert not shelter.keeps(report(), 5.5)
 
 
-def test_keeps_workers_of_a_silent_queen_and_of_none() -> None:
+def test_keeps_workers_of_a_silent_leader_and_of_none() -> None:
     shelter, lead = follower()
     shelter.heard("hive-1", True, [], 5.0)
     assert shelter.keeps(report(), 9.0)
-    lead.queen = None
+    lead.leader = None
     assert shelter.keeps(report(), 9.0)
 
 
-def test_never_keeps_a_worker_that_saw_another_crown() -> None:
-    """A 200 with a lower crown would be dropped while the lease runs out."""
+def test_never_keeps_a_worker_that_saw_another_term() -> None:
+    """A 200 with a lower term would be dropped while the lease runs out."""
     shelter, _ = follower()
-    assert not shelter.keeps(report(crown=8), 9.0)
-    assert not shelter.keeps(report(crown=6), 9.0)
-    none, _ = follower(queen=None, crown=0)
-    assert not none.keeps(report(crown=0), 9.0)
+    assert not shelter.keeps(report(term=8), 9.0)
+    assert not shelter.keeps(report(term=6), 9.0)
+    none, _ = follower(leader=None, term=0)
+    assert not none.keeps(report(term=0), 9.0)
 
 
-def test_tries_the_queen_again_once_per_lease() -> None:
+def test_tries_the_leader_again_once_per_lease() -> None:
     shelter, _ = follower()
     answers = []
     for second in range(30):
@@ -68,9 +68,9 @@
     lead = Leadership("hive-0")
     lead.stand()
     lead.win(4)
-    assert not lead.learn("hive-1", 3) and lead.reigning
+    assert not lead.learn("hive-1", 3) and lead.leads
     assert lead.learn("hive-1", 5) and lead.role is Role.FOLLOWER
-    assert not lead.learn("hive-2", 4) and lead.queen == "hive-1"
+    assert not lead.learn("hive-2", 4) and lead.leader == "hive-1"
 
 
 def test_only_a_node_that_alone_is_not_served_goes_unhealthy() -> None:
@@ -97,7 +97,7 @@
 
 
 def test_adrift_node_sends_workers_away_that_can_reach_others() -> None:
-    """Its answers led nowhere: nothing launched, nothing seen to end, while the queen waited."""
+    """Its answers led nowhere: nothing launched, nothing seen to end, while the leader waited."""
     shelter, _ = follower()
     assert shelter.adrift(False, 20.0)
     assert not shelter.keeps_adrift(report(box="host-9", zone="b"), 20.0)
@@ -123,15 +123,15 @@
     assert not shelter.keeps_adrift(report(box="host-3", busy=True), 31.0)
 
 
-def test_adrift_node_never_keeps_a_worker_that_saw_another_crown() -> None:
+def test_adrift_node_never_keeps_a_worker_that_saw_another_term() -> None:
     shelter, _ = follower()
     assert shelter.adrift(False, 20.0)
     shelter.keeps_adrift(report(box="host-2"), 20.0)
-    assert not shelter.keeps_adrift(report(crown=8, busy=True), 20.5)
+    assert not shelter.keeps_adrift(report(term=8, busy=True), 20.5)
 
 
 def test_news_of_ended_tasks_is_passed_on_first() -> None:
-    """Of a cut zone's 150 reports a value takes a dozen: in order of arrival the queen
+    """Of a cut zone's 150 reports a value takes a dozen: in order of arrival the leader
     learnt of ended tasks minutes late."""
     shelter, _ = follower()
     for number in range(150):
--- a/tests/test_shelves.py
+++ b/tests/test_shelves.py
@@ -67,7 +67,7 @@
 
 def test_machine_on_two_shelves_keeps_both_intents() -> None:
     """A machine that changed its shelf may stand in the old value too: both are believed."""
-    bench = Bench(machines=0, crown=8)
+    bench = Bench(machines=0, term=8)
     spec = make_spec(shape="batch", frames=2)
     job = Job(spec, bench.now, 1e9, "hive-0")
     old, _ = records.read_on({"boxes": {"host-0": [1, "a", False, "b1", [[spec.id, 0, 7]]]}})
--- a/tests/test_users.py
+++ b/tests/test_users.py
@@ -132,7 +132,7 @@
         users = [await curio.spawn(one, number, daemon=True) for number in range(100, 600)]
         report = {
             "box": "host-1", "endpoint": "host-1:9", "breed": "b1", "apiary": "a",
-            "drones": False, "flight": 1, "tally": 1, "crown": node.leadership.crown,
+            "drones": False, "flight": 1, "tally": 1, "crown": node.leadership.term,
             "frames": [],
         }  # fmt: skip
         before = world.clock.now
@@ -151,16 +151,16 @@
         answer = await submit(node, shape="batch", frames=100_000, cards=0.5, vcpus=1.0)
         assert answer.status == 201
         await curio.sleep(3.0)
-        job = node.reign.realm.jobs["wk-000001"]
+        job = node.leading.realm.jobs["wk-000001"]
         for index in range(0, 100_000, 3):
             job.mark_done(index)
         for _ in range(6):
-            await node.reign.saving.save(job, world.clock.now)
+            await node.leading.saving.save(job, world.clock.now)
         assert not job.unsaved
-        await load_parts(node.reign.office, job)
+        await load_parts(node.leading.office, job)
         fresh = type(job)(job.spec, 0.0, 0.0, "")
         fresh.load_part(0, world.state.data["live/wk-000001"][0]["done"])
-        await load_parts(node.reign.office, fresh)
+        await load_parts(node.leading.office, fresh)
         assert fresh.done == job.done
 
     scene(monkeypatch, act)
@@ -170,18 +170,18 @@
     async def act(world: World, node: Any) -> None:
         assert (await submit(node, shape="daemon")).status == 201
         await curio.sleep(1.0)
-        job = node.reign.realm.jobs["wk-000001"]
+        job = node.leading.realm.jobs["wk-000001"]
         assert not job.gang and job.waiting_count == 2
         answer = await ask(node, "POST", "/api/jobs/wk-000001/cancel")
         assert answer.body["stage"] == "aborted"
         await curio.sleep(1.0)
-        assert "wk-000001" not in node.reign.realm.jobs
+        assert "wk-000001" not in node.leading.realm.jobs
 
     scene(monkeypatch, act)
 
 
 def test_an_odd_record_hides_no_other_job(monkeypatch: pytest.MonkeyPatch) -> None:
-    """It kept each new queen from taking over, and every job from running."""
+    """It kept each new leader from taking over, and every job from running."""
 
     async def main(clock: VirtualTime) -> None:
         world = World(clock, 1)
@@ -191,12 +191,12 @@
         await start_node(world, NAMES[0])
         await curio.sleep(2.0)
         node = world.nodes[NAMES[0]]
-        assert node.reign is not None and node.reign.loaded
+        assert node.leading is not None and node.leading.loaded
         assert (await submit(node)).status == 201
         for odd in ("wk-000077", "wk-000078"):
             answer = await ask(node, "GET", f"/api/jobs/{odd}")
             assert answer.status == 200 and answer.body["stage"] == "pending"
-        assert sorted(node.reign.realm.jobs) == ["wk-000001"]
-        assert "host-000099" in node.reign.realm._gone, "only a release proves what is on it"
+        assert sorted(node.leading.realm.jobs) == ["wk-000001"]
+        assert "host-000099" in node.leading.realm._gone, "only a release proves what is on it"
 
     run_virtual(main, monkeypatch)
--- a/tests/world.py
+++ b/tests/world.py
@@ -23,8 +23,8 @@
 
 #: Troubles that cut connections.
 CUTS = (
-    "zones_cut", "node_cut", "node_off_state", "machine_cut", "queen_off_zone",
-    "node_off_all_but_workers", "queen_off_all_but_workers",
+    "zones_cut", "node_cut", "node_off_state", "machine_cut", "leader_off_zone",
+    "node_off_all_but_workers", "leader_off_all_but_workers",
 )
 STEP_S = 0.1
 #: How long a question may go unanswered once troubles are over.
@@ -456,13 +456,13 @@
             for each in self.names:
                 await self.crash([each])
                 await curio.sleep(2.0)
-        elif kind == "crash_queen":
-            await self.crash([n for n, node in self.nodes.items() if node.reign is not None])
+        elif kind == "crash_leader":
+            await self.crash([n for n, node in self.nodes.items() if node.leading is not None])
         elif kind == "crash_election":
             # Whoever is elected ends at once, and is back within a moment.
             for _ in range(3):
                 await self.crash(
-                    [n for n, node in self.nodes.items() if node.reign is not None],
+                    [n for n, node in self.nodes.items() if node.leading is not None],
                     [0.02, 0.1, 0.3],
                 )
                 await curio.sleep(rng.uniform(0.0, 2.0))
@@ -474,9 +474,9 @@
             self.state.refused.add(name)
             await curio.sleep(for_s)
             self.state.refused.discard(name)
-        elif kind == "queen_refused":
+        elif kind == "leader_refused":
             for n, node in list(self.nodes.items()):
-                if node.reign is not None:
+                if node.leading is not None:
                     self.state.refused.add(n)
             await curio.sleep(for_s)
             self.state.refused.clear()
@@ -493,7 +493,7 @@
             await curio.sleep(for_s)
             self.net.late_writes = 0.0
         elif kind == "refused_then_down":
-            leading = [n for n, node in self.nodes.items() if node.reign is not None]
+            leading = [n for n, node in self.nodes.items() if node.leading is not None]
             self.state.refused |= set(leading)
             await curio.sleep(rng.uniform(0.2, 2.0))
             self.state.set_down(True)
@@ -504,10 +504,10 @@
             self.net.copies = 0.3
             await curio.sleep(for_s)
             self.net.copies = 0.0
-        elif kind in ("freeze", "freeze_queen"):
-            queens = [n for n, node in self.nodes.items() if node.reign is not None]
-            if kind == "freeze_queen":
-                name = queens[0] if queens else name
+        elif kind in ("freeze", "freeze_leader"):
+            leaders = [n for n, node in self.nodes.items() if node.leading is not None]
+            if kind == "freeze_leader":
+                name = leaders[0] if leaders else name
             self.frozen[name] = self.clock.now + for_s
         elif kind == "peers_refuse":
             self.peers_refuse = True
@@ -551,12 +551,12 @@
             "node_off_all_but_workers": [
                 (name, o) for o in (*self.names, StateService.HOST) if o != name
             ],
-            "queen_off_all_but_workers": [
-                (n, o) for n, node in self.nodes.items() if node.reign is not None
+            "leader_off_all_but_workers": [
+                (n, o) for n, node in self.nodes.items() if node.leading is not None
                 for o in (*self.names, StateService.HOST) if o != n
             ],
-            "queen_off_zone": [
-                (n, "b") for n, node in self.nodes.items() if node.reign is not None
+            "leader_off_zone": [
+                (n, "b") for n, node in self.nodes.items() if node.leading is not None
             ],
             "machine_cut": [
                 (worker.host, n) for worker in list(self.cloud.workers.values())[:2]
--- a/topazhold/control/booking.py
+++ b/topazhold/control/booking.py
@@ -31,7 +31,7 @@
 
 log = logging.getLogger(__name__)
 
-#: Gangs searched for in one round; the rest wait their turn. A node that is not queen
+#: Gangs searched for in one round; the rest wait their turn. A node that is not leader
 #: has time for more, as its share of a core allows: a search takes about so long on a
 #: whole one, and a round must not keep a lease or an answer waiting.
 MOST_SEARCHED = 16
@@ -50,7 +50,7 @@
 
 
 def searches_beside(cpu_share: float) -> int:
-    """Searches a round of a node that is not queen."""
+    """Searches a round of a node that is not leader."""
     return max(MOST_SEARCHED, min(MOST_SEARCHED_BESIDE, int(cpu_share * ROUND_S / SEARCH_S)))
 
 
@@ -75,7 +75,7 @@
 
     def __init__(self) -> None:
         self.at = -1e9
-        self.crown = 0
+        self.term = 0
         self.written = 0.0  # time of day at which the leader made it
         self.directory: list[tuple[str, str]] = []
         self.caches: dict[str, Sequence[Offer]] = {}
@@ -97,10 +97,10 @@
     def older(self, data: Any) -> bool:
         """Whether a jobs' value is a late copy of one made before what is known."""
         made = (int(data.get("crown", 0)), float(data.get("at", 0.0)))
-        return made < (self.crown, self.written)
+        return made < (self.term, self.written)
 
     def read_jobs(self, data: Any) -> None:
-        self.crown = int(data.get("crown", 0))
+        self.term = int(data.get("crown", 0))
         self.written = float(data.get("at", 0.0))
         self.waiting = {
             str(job): (str(node), (int(outside), int(level), float(submitted)), bool(wants))
--- a/topazhold/control/enforcing.py
+++ b/topazhold/control/enforcing.py
@@ -156,7 +156,7 @@
             if not calls:
                 return
             # Kills are safe from anybody, and a token equal to the worker's is heard.
-            orders = Orders(rep.crown, calls, rep.flight)
+            orders = Orders(rep.term, calls, rep.flight)
             log.info("%d tasks of cancelled jobs on %s killed from here", len(calls), name)
             status, body = await client.ask(
                 "POST", wire.COMMANDS_PATH, orders, self._report_s
--- a/topazhold/control/estate.py
+++ b/topazhold/control/estate.py
@@ -39,9 +39,9 @@
 
     async def rent_loop(self) -> None:
         while not self._listed:
-            # A new queen knows too little of what she has.
+            # A new leader knows too little of what she has.
             await curio.sleep(self._office.retry_s)
-        if self._office.crown > 1:
+        if self._office.term > 1:
             # What her predecessor rented last is not even listed yet.
             await curio.sleep(self._office.realm.lag_s)
         while True:
@@ -54,8 +54,8 @@
 
     async def _rent(self, ask: Ask) -> None:
         self._asks += 1
-        # The crown makes the name this reign's own: it is never used again.
-        name = f"{self._office.node}-{self._office.crown}-{self._asks}"
+        # The number makes the name this term's own: it is never used again.
+        name = f"{self._office.node}-{self._office.term}-{self._asks}"
         for _ in range(6):
             try:
                 names = await self._cloud.rent(name, ask)
@@ -105,7 +105,7 @@
     def _to_release(self, now: float) -> list[str]:
         """Names to release now.
 
-        A queen who can't be sure to be queen must not take machines away that
+        A leader who can't be sure to be leader must not take machines away that
         another may be using. Only a cancelled task has to go at any price.
         """
         realm = self._office.realm
--- a/topazhold/control/intents.py
+++ b/topazhold/control/intents.py
@@ -46,7 +46,7 @@
             machine = machines.get(run.machine)
             if machine is not None:
                 by_shelf.setdefault(office.shelves.of(machine, machines).name, []).append(run)
-        # The queen's own mark, and one for every value that may be put.
+        # The leader's own mark, and one for every value that may be put.
         most_jobs = GUARDS_PER_OP * office.txn_ops - len(office.guards()) - office.txn_ops
         batch: list[Run] = []
         shelves: set[str] = set()
@@ -139,7 +139,7 @@
         return True
 
     async def tidy(self, shelves: set[Shelf]) -> None:
-        """Intents of machines that are gone; a new queen would find that out by herself."""
+        """Intents of machines that are gone; a new leader would find that out by herself."""
         office = self._office
         values = office.shelves.values(shelves, office.realm.machines, office.token())
         for name, (mark, value) in values.items():
--- a/topazhold/control/reign.py
+++ b/topazhold/control/leading.py
@@ -1,4 +1,4 @@
-"""A reign: what the queen does besides answering requests."""
+"""A term: what the leader does besides answering requests."""
 
 from __future__ import annotations
 
@@ -45,23 +45,23 @@
 DECIDING_PAUSE = 3.0
 
 
-class Reign:
-    """One reign from the election to its end."""
+class Leading:
+    """One term from the election to its end."""
 
     def __init__(
         self, settings: Settings, operator: Operator, store: Store, cloud: Cloud,
-        book: HoldBook, breeds: dict[str, Breed], crown: int, mark: int, rng: Random,
+        book: HoldBook, breeds: dict[str, Breed], term: int, mark: int, rng: Random,
         now: float, tell: Callable[[tuple[Any, ...]], Awaitable[None]],
         dial: Callable[[tuple[str, int], int], Client],
         assured: Callable[[float], bool], cancellations: Cancellations,
     ) -> None:  # fmt: skip
-        self.crown = crown
+        self.term = term
         self._breeds = breeds
-        self.realm = Realm(settings, operator, crown, book, rng, now)
+        self.realm = Realm(settings, operator, term, book, rng, now)
         self.realm.breeds = breeds
         self.loaded = False
         self.office = office = Office(
-            settings, store, self.realm, crown, mark, assured, cancellations
+            settings, store, self.realm, term, mark, assured, cancellations
         )
         self._intents = Intents(office)
         self.saving = Saving(office)
@@ -75,7 +75,7 @@
         self._ticked_at = -1e9
 
     async def run(self) -> None:
-        """Reign until cancelled or deposed."""
+        """Term until cancelled or deposed."""
         start = await curio.clock()
         while True:
             try:
@@ -86,8 +86,8 @@
                 await curio.sleep(self.office.retry_s)
         now = await curio.clock()
         log.info(
-            "queen %s crown %d took over in %.2f s: %d jobs, %d machines",
-            self.office.node, self.crown, now - start, len(self.realm.jobs),
+            "leader %s term %d took over in %.2f s: %d jobs, %d machines",
+            self.office.node, self.term, now - start, len(self.realm.jobs),
             len(self.realm.machines),
         )  # fmt: skip
         await self.office.learn_cancelled()
@@ -110,7 +110,7 @@
         try:
             await loop()
         except Deposed as exc:
-            log.info("reign %d ends: %s", self.crown, exc)
+            log.info("term %d ends: %s", self.term, exc)
 
     def view(self, now: float) -> View:
         """The fleet for this node's own searches, fresh."""
@@ -157,7 +157,7 @@
         if (rep.flight, rep.tally) != (machine.flight, machine.tally):
             return machine, []  # a newer one was heard while this one waited
         now = await curio.clock()
-        # Once the grant may have passed on, another may be queen: she knows of
+        # Once the grant may have passed on, another may be leader: she knows of
         # the intents, but nothing new is to begin behind her back.
         return machine, self.realm.answer(machine, rep, now, self._may_launch(now))
 
@@ -203,7 +203,7 @@
 
     async def _watch_relays(self) -> None:
         async def apply(node: str, data: Any, mark: int) -> None:
-            if isinstance(data, dict) and data.get("crown") == self.crown:
+            if isinstance(data, dict) and data.get("crown") == self.term:
                 await self.relayed(data.get("reports", []))
 
         await self._watch(records.RELAY_PREFIX, apply)
@@ -277,5 +277,5 @@
             passed, self._round = self._round, curio.Event()
             await passed.set()
             # Every report wakes this loop. Without a pause that grows with the
-            # cost of a round, a queen of many machines did nothing but plan.
+            # cost of a round, a leader of many machines did nothing but plan.
             await curio.sleep(max(PLAN_REPORTS * self.office.report_s, busy * DECIDING_PAUSE))
--- a/topazhold/control/node.py
+++ b/topazhold/control/node.py
@@ -13,8 +13,8 @@
 from topazhold.control.booking import MOST_SEARCHED, Booking, View, Wanted, searches_beside
 from topazhold.control.cloud import Cloud, CloudDown
 from topazhold.control.enforcing import Enforcer
+from topazhold.control.leading import Leading
 from topazhold.control.office import TXN_BYTES
-from topazhold.control.reign import Reign
 from topazhold.control.relay import SILENT_GRANTS, Shelter
 from topazhold.control.store import (
     DECISIONS,
@@ -29,7 +29,7 @@
 from topazhold.core.cancellations import Cancellations
 from topazhold.core.holds import HoldBook
 from topazhold.core.jobs import NO_AIM, Job
-from topazhold.core.leadership import CROWN_KEY, QUEEN_KEY, Leadership, Role, read_value
+from topazhold.core.leadership import LEADER_KEY, TERM_KEY, Leadership, Role, read_value
 from topazhold.core.placements import Placements
 from topazhold.core.preemption import turn
 from topazhold.core.search import pack_names, unpack_names
@@ -51,7 +51,7 @@
 RECEIPT_REPORTS = 0.1
 #: The catalog's prices move slowly.
 CATALOG_REPORTS = 60
-#: How often the queen tells her peers the summary, about.
+#: How often the leader tells her peers the summary, about.
 PEER_SUMMARY_S = 1.0
 #: Share of the sockets for those who connect to this node.
 SERVED_SHARE = 0.8
@@ -114,7 +114,7 @@
             workers.lease_s, time.monotonic(), workers.cancel_s,
         )  # fmt: skip
         self.barred_until = 0.0
-        self.reign: Reign | None = None
+        self.leading: Leading | None = None
         self.permit: int | None = None
         self.valid_until = 0.0
         self._election = curio.Event()
@@ -124,15 +124,15 @@
         self._searches = searches_beside(cluster.limits.cpu_share)
         self._share(False)
 
-    def _share(self, reigning: bool) -> None:
-        """The queen needs most of the state service's limits."""
+    def _share(self, leads: bool) -> None:
+        """The leader needs most of the state service's limits."""
         nodes = 1 + len(self.links)
         if nodes == 1:
             self.store.set_share(1.0)
         else:
             # The shares add up to more than the whole: the nodes are seldom
             # busy at once, and what is too much the service itself refuses.
-            self.store.set_share(0.85 if reigning else max(0.35, 1.0 / nodes))
+            self.store.set_share(0.85 if leads else max(0.35, 1.0 / nodes))
 
     async def run(self) -> None:
         """Serve until killed."""
@@ -156,7 +156,7 @@
         """All that goes on besides answering requests."""
         async with curio.TaskGroup(wait=any) as group:
             for loop in (
-                self._lease_loop, self._queen_loop, self._reign_loop, self._catalog_loop,
+                self._lease_loop, self._leader_loop, self._leading_loop, self._catalog_loop,
                 self._ping_loop, self._booking_loop, self._relay_loop, self._resign_loop,
                 self.enforcer.loop,
             ):  # fmt: skip
@@ -200,54 +200,54 @@
             log.debug("report refused: %s", exc)
             return Answer(400)
         lead = self.leadership
-        reign = self.reign
-        if rep.crown > lead.crown:
-            # A worker knows a reign that this node does not: whoever thinks
-            # to be queen here is not any more.
-            lead.crown = rep.crown
-            if reign is not None:
-                await self._depose("a worker knows a higher crown")
-            lead.queen = None
+        leading = self.leading
+        if rep.term > lead.term:
+            # A worker knows a term that this node does not: whoever thinks
+            # to be leader here is not any more.
+            lead.term = rep.term
+            if leading is not None:
+                await self._depose("a worker knows a higher term")
+            lead.leader = None
             return Answer(421, wire.redirect(None))
         now = await curio.clock()
         if self.shelter.adrift(self._served(now), now):
-            # Nothing that this node hears reaches anybody: not even a queen may
+            # Nothing that this node hears reaches anybody: not even a leader may
             # hold workers here, once her grant may have passed on.
             if now > self.valid_until:
                 if not (self._informed(now) and self.shelter.keeps_adrift(rep, now)):
                     return Answer(421, wire.redirect(None))
-        if reign is None or not lead.reigning:
+        if leading is None or not lead.leads:
             if self._informed(now) and self.shelter.keeps(rep, now):
                 self.shelter.keep(rep)
-                return self._answer_kept(rep, lead.crown)
-            queen = lead.queen if lead.queen != self.name else None
-            return Answer(421, wire.redirect(queen))
-        if not reign.loaded:
+                return self._answer_kept(rep, lead.term)
+            leader = lead.leader if lead.leader != self.name else None
+            return Answer(421, wire.redirect(leader))
+        if not leading.loaded:
             if not self._informed(now):
                 return Answer(421, wire.redirect(None))
-            return self._answer_kept(rep, reign.crown)
-        _, calls = await reign.hear(rep)
-        if self.reign is not reign:
+            return self._answer_kept(rep, leading.term)
+        _, calls = await leading.hear(rep)
+        if self.leading is not leading:
             return Answer(421, wire.redirect(None))
-        return Answer(200, Orders(reign.crown, calls))
+        return Answer(200, Orders(leading.term, calls))
 
     def _informed(self, now: float) -> bool:
         """Whether a 200 from here keeps no task alive past the end of its `cancel_s`."""
         return self.cancellations.informed and self.shelter.informed(now)
 
-    def _answer_kept(self, rep: Report, crown: int) -> Answer:
+    def _answer_kept(self, rep: Report, term: int) -> Answer:
         """A 200 without a realm: nothing but the kills that the record asks for."""
         self.placements.seen(rep)
         calls = self.cancellations.kills(rep)
         if calls:
             log.info("%d tasks of cancelled jobs on %s killed in an answer", len(calls), rep.box)
-        return Answer(200, Orders(crown, calls))
+        return Answer(200, Orders(term, calls))
 
     # -- cancellations -------------------------------------------------------
 
     def _seen_to(self, job: str, now: float) -> bool:
         """Whether a leader that has loaded sees to a cancellation."""
-        if self.reign is not None and self.reign.loaded:
+        if self.leading is not None and self.leading.loaded:
             return True
         leader, at = self._leader_loaded
         quiet = now - at > 2 * SILENT_GRANTS * self.grant_s
@@ -261,8 +261,8 @@
         """
         if not self.cancellations.add(job, at, time.time()):
             return
-        if self.reign is not None:
-            await self.reign.cancelled(job, at)
+        if self.leading is not None:
+            await self.leading.cancelled(job, at)
         for peer in self.links:
             await self._tell_cancellations(peer)
         now = await curio.clock()
@@ -286,8 +286,8 @@
             str(peer), str(boot), int(after), int(upto), entries, time.time()
         )
         for job, at in fresh:
-            if self.reign is not None:
-                await self.reign.cancelled(job, at)
+            if self.leading is not None:
+                await self.leading.cancelled(job, at)
         link = self.links.get(str(peer))
         if link is not None:
             receipt = self.cancellations.receipts()[str(peer)]
@@ -303,16 +303,16 @@
     # -- work accepted here ----------------------------------------------------
 
     async def _accepted(self, job: Job) -> None:
-        if self.reign is not None:
-            await self.reign.accepted(job)
+        if self.leading is not None:
+            await self.leading.accepted(job)
         if job.gang:
             waits = self.settings.cluster.aimed_waits()
             job.aimed_wait_s = waits.get(job.spec.lane, (NO_AIM, NO_AIM))[0]
             await self.booking.accepted(job, await curio.clock())
 
     def _running_count(self, job_id: str) -> int:
-        if self.reign is not None and self.reign.loaded:
-            job = self.reign.realm.jobs.get(job_id)
+        if self.leading is not None and self.leading.loaded:
+            job = self.leading.realm.jobs.get(job_id)
             return job.running_count() if job is not None else 0
         return self.view.running.get(job_id, 0)
 
@@ -342,11 +342,11 @@
 
     # -- elections -----------------------------------------------------------
 
-    async def _queen_loop(self) -> None:
+    async def _leader_loop(self) -> None:
         """Follow the leadership key; stand when it is free."""
         while True:
             try:
-                entry = await self.store.get(QUEEN_KEY, LEASES)
+                entry = await self.store.get(LEADER_KEY, LEASES)
                 harvest = entry.mark if entry is not None else None
                 if entry is None:
                     self.leadership.vacant()
@@ -359,7 +359,7 @@
                     continue
                 if await self._former_self(entry):
                     continue
-                await self._seen_queen(entry.data, entry.mark)
+                await self._seen_leader(entry.data, entry.mark)
                 await self._follow(harvest or 0)
             except WatchLost:
                 continue
@@ -368,14 +368,14 @@
                 await curio.sleep(0.1 * self.grant_s)
 
     async def _former_self(self, entry: Entry) -> bool:
-        """End a reign left over from an earlier life of this node.
+        """End a term left over from an earlier life of this node.
 
         That process is dead and nobody commands in its name, so there is no
         need to wait for its lease to lapse. The same goes for an election won
         without an answer.
         """
         value = read_value(entry.data)
-        if value is None or value[0] != self.name or self.leadership.reigning:
+        if value is None or value[0] != self.name or self.leadership.leads:
             return False
         if entry.permit is None:
             return False
@@ -388,27 +388,27 @@
     async def _follow(self, harvest: int) -> None:
         """Wait until the leadership key changes."""
         while True:
-            page = await self.store.watch(QUEEN_KEY, harvest, 4 * self.grant_s)
+            page = await self.store.watch(LEADER_KEY, harvest, 4 * self.grant_s)
             harvest = max(harvest, page.harvest)
             for event in page.events:
                 key, data, mark = wire.event_key(event)
-                if key != QUEEN_KEY:
+                if key != LEADER_KEY:
                     continue
                 if data is None:
                     log.info("the leadership is vacant")
                     return
-                await self._seen_queen(data, mark)
+                await self._seen_leader(data, mark)
 
-    async def _seen_queen(self, data: Any, mark: int) -> None:
+    async def _seen_leader(self, data: Any, mark: int) -> None:
         value = read_value(data)
         if value is None:
             return
-        queen, crown = value
+        leader, term = value
         lead = self.leadership
-        if queen == self.name:
+        if leader == self.name:
             return
-        if lead.learn(queen, crown):
-            await self._depose("another queen was elected")
+        if lead.learn(leader, term):
+            await self._depose("another leader was elected")
 
     async def _stand(self) -> None:
         lead = self.leadership
@@ -416,14 +416,14 @@
         assert permit is not None
         lead.stand()
         try:
-            last = await self.store.get(CROWN_KEY, LEASES)
-            crown = max(lead.crown, int(last.data["crown"]) if last is not None else 0) + 1
-            token = f"{self.name}-{permit}-{crown}"
-            value = {**lead.value(crown), "by": token}
+            last = await self.store.get(TERM_KEY, LEASES)
+            term = max(lead.term, int(last.data["crown"]) if last is not None else 0) + 1
+            token = f"{self.name}-{permit}-{term}"
+            value = {**lead.value(term), "by": token}
             mark = await self.store.commit(
-                [(QUEEN_KEY, 0), (CROWN_KEY, last.mark if last is not None else 0)],
-                [wire.put(QUEEN_KEY, value, permit), wire.put(CROWN_KEY, value)],
-                LEASES, QUEEN_KEY, token, give_up_s=self.grant_s,
+                [(LEADER_KEY, 0), (TERM_KEY, last.mark if last is not None else 0)],
+                [wire.put(LEADER_KEY, value, permit), wire.put(TERM_KEY, value)],
+                LEASES, LEADER_KEY, token, give_up_s=self.grant_s,
             )  # fmt: skip
         except Conflict:
             lead.step_down()
@@ -434,43 +434,43 @@
         if self.permit != permit:
             lead.step_down()
             return
-        lead.win(crown)
-        log.info("node %s elected queen, crown %d", self.name, crown)
+        lead.win(term)
+        log.info("node %s elected leader, term %d", self.name, term)
         self._share(True)
-        self.reign = Reign(
+        self.leading = Leading(
             self.settings, self.operator, self.store, self.cloud, self.book, self.breeds,
-            crown, mark, self.rng, await curio.clock(), self._tell, self._dial,
+            term, mark, self.rng, await curio.clock(), self._tell, self._dial,
             lambda now: now < self.valid_until, self.cancellations,
         )  # fmt: skip
         await self._election.set()
         await self._ping()
 
     async def _depose(self, why: str) -> None:
-        """End this node's reign, if there is one."""
-        if self.reign is None:
+        """End this node's term, if there is one."""
+        if self.leading is None:
             return
-        log.info("node %s is queen no more: %s", self.name, why)
+        log.info("node %s is leader no more: %s", self.name, why)
         self.leadership.step_down()
-        if self.reign.loaded:
-            self.placements.told(self.reign.crown, self.reign.placed())
-        self.reign = None
+        if self.leading.loaded:
+            self.placements.told(self.leading.term, self.leading.placed())
+        self.leading = None
         self._share(False)
         await self._election.set()
 
-    async def _reign_loop(self) -> None:
-        """Run the reign's loops for as long as it lasts."""
+    async def _leading_loop(self) -> None:
+        """Run the term's loops for as long as it lasts."""
         while True:
             await self._election.wait()
             self._election.clear()
-            reign = self.reign
-            if reign is None:
+            leading = self.leading
+            if leading is None:
                 continue
-            task = await curio.spawn(reign.run)
-            while self.reign is reign and not task.terminated:
+            task = await curio.spawn(leading.run)
+            while self.leading is leading and not task.terminated:
                 await curio.ignore_after(0.25 * self.grant_s, self._election.wait)
                 self._election.clear()
             await task.cancel()
-            if self.reign is reign:
+            if self.leading is leading:
                 await self._depose("its loops ended")
                 await self._drop_lease()
 
@@ -493,14 +493,14 @@
     async def _ping(self) -> None:
         lead = self.leadership
         silent: list[str] | None = None
-        if self.reign is not None and self.reign.loaded:
-            silent = pack_names(self.reign.realm.unreached(await curio.clock()))
+        if self.leading is not None and self.leading.loaded:
+            silent = pack_names(self.leading.realm.unreached(await curio.clock()))
         served = self.store.failing_since is None
         cancellations = self.cancellations
         enforces = silent is not None or bool(self.placements.places)
         await self._tell(
             (
-                "ping", self.name, lead.crown, lead.queen or "", silent, served, enforces,
+                "ping", self.name, lead.term, lead.leader or "", silent, served, enforces,
                 [cancellations.boot, cancellations.last, cancellations.informed],
                 cancellations.receipts(),
             )
@@ -515,35 +515,35 @@
         """A message of another controller: hints only."""
         tag = message[0]
         if tag == "ping":
-            _, peer, crown, queen, silent, served, enforces, record, receipts = message
-            from_queen = silent is not None and peer == queen
+            _, peer, term, leader, silent, served, enforces, record, receipts = message
+            from_leader = silent is not None and peer == leader
             now = await curio.clock()
             self.shelter.heard(
-                str(peer), bool(served), unpack_names(silent) if from_queen else None, now,
+                str(peer), bool(served), unpack_names(silent) if from_leader else None, now,
                 bool(enforces),
             )
-            if from_queen:
+            if from_leader:
                 self._leader_loaded = (str(peer), now)
             await self._level(str(peer), record, receipts)
-            if queen and int(crown) >= self.leadership.crown:
-                if self.leadership.learn(str(queen), int(crown)):
-                    await self._depose("a peer follows a later queen")
+            if leader and int(term) >= self.leadership.term:
+                if self.leadership.learn(str(leader), int(term)):
+                    await self._depose("a peer follows a later leader")
         elif tag == "cancelled":
             await self._hear_cancellations(message)
         elif tag == "receipt":
             _, peer, boot, upto = message
             await self._hear_receipt(str(peer), str(boot), int(upto))
         elif tag == "placed":
-            _, crown, items = message
-            if self.reign is None or not self.reign.loaded:
-                self.placements.told(int(crown), items)
+            _, term, items = message
+            if self.leading is None or not self.leading.loaded:
+                self.placements.told(int(term), items)
         elif tag == "relay":
-            _, crown, reports = message
-            if self.reign is not None and self.reign.crown == int(crown):
-                await self.reign.relayed(reports)
+            _, term, reports = message
+            if self.leading is not None and self.leading.term == int(term):
+                await self.leading.relayed(reports)
         elif tag == "summary":
-            _, crown, values = message
-            if int(crown) >= self.leadership.crown and self.reign is None:
+            _, term, values = message
+            if int(term) >= self.leadership.term and self.leading is None:
                 self._read_summary(values, await curio.clock())
 
     async def _level(self, peer: str, record: Any, receipts: Any) -> None:
@@ -553,12 +553,12 @@
             self.cancellations.informed = True
         if self._peer_boots.get(peer) != boot:
             self._peer_boots[peer] = str(boot)
-            if self.reign is not None:
-                self.reign.tell_anew()
+            if self.leading is not None:
+                self.leading.tell_anew()
         of_boot, upto = receipts.get(self.name, ("", -1))
         await self._hear_receipt(peer, str(of_boot), int(upto))
 
-    # -- workers that the queen can't reach ----------------------------------------
+    # -- workers that the leader can't reach ----------------------------------------
 
     async def _relay_loop(self) -> None:
         """Pass sheltered workers' reports on: by the link, or the state service."""
@@ -567,15 +567,15 @@
         while True:
             await curio.sleep(self.report_s)
             lead = self.leadership
-            link = self.links.get(lead.queen or "")
+            link = self.links.get(lead.leader or "")
             if link is None:
                 continue
-            if not self.shelter.queen_cut(await curio.clock()):
+            if not self.shelter.leader_cut(await curio.clock()):
                 for _ in range(RELAY_FRAMES):
                     reports = self.shelter.take(RELAY_FRAME_BYTES)
                     if not reports:
                         break
-                    await link.send(encode(("relay", lead.crown, reports)))
+                    await link.send(encode(("relay", lead.term, reports)))
                 continue
             # A whole zone's reports don't fit one value: several, within a share of
             # what a transaction takes and of the changes a second.
@@ -586,7 +586,7 @@
                 if not reports:
                     break
                 key = f"{records.RELAY_PREFIX}{self.name}/{number}"
-                value = {"crown": lead.crown, "reports": reports}
+                value = {"crown": lead.term, "reports": reports}
                 changes.append(wire.put(key, value, self.permit))
             if not changes:
                 continue
@@ -596,13 +596,13 @@
                 log.debug("reports not relayed: %s", exc)
 
     async def _resign_loop(self) -> None:
-        """A queen that hardly hears any worker, while others do, makes room."""
+        """A leader that hardly hears any worker, while others do, makes room."""
         lease_s = self.settings.cluster.workers.lease_s
         while True:
             await curio.sleep(0.5 * self.grant_s)
-            reign = self.reign
+            leading = self.leading
             now = await curio.clock()
-            if reign is None or not reign.loaded or not reign.realm.cut_from_workers(now):
+            if leading is None or not leading.loaded or not leading.realm.cut_from_workers(now):
                 continue
             log.info("node %s hears too few of the workers that others hear", self.name)
             self.barred_until = now + 2 * lease_s
@@ -653,13 +653,13 @@
 
     async def _book(self, permit: int, now: float) -> float:
         """One round of searches; the time that it kept this process busy."""
-        reign = self.reign
+        leading = self.leading
         booking = self.booking
-        if reign is not None:
-            if not reign.loaded:
+        if leading is not None:
+            if not leading.loaded:
                 return 0.0
-            self._wanted_of_queen(reign, now)
-            view = reign.view(now) if booking.wanted else self.view
+            self._wanted_of_leader(leading, now)
+            view = leading.view(now) if booking.wanted else self.view
         else:
             view = self.view
             if now - max(view.at, self._fetched_at) > self.operator.summary_s:
@@ -669,24 +669,24 @@
             if booking.wanted:
                 await booking.read_book()
         began = time.monotonic()
-        booking.round(view, now, MOST_SEARCHED if reign is not None else self._searches)
+        booking.round(view, now, MOST_SEARCHED if leading is not None else self._searches)
         busy = time.monotonic() - began
-        if await booking.write(permit, now) and reign is not None:
-            await reign.stir()
+        if await booking.write(permit, now) and leading is not None:
+            await leading.stir()
         return busy
 
-    def _wanted_of_queen(self, reign: Reign, now: float) -> None:
+    def _wanted_of_leader(self, leading: Leading, now: float) -> None:
         """Her own gangs, and those whose controller is gone or finds nothing."""
         wanted = self.booking.wanted
-        waiting = {job.id: job for job in reign.realm.waiting_gangs(now)}
+        waiting = {job.id: job for job in leading.realm.waiting_gangs(now)}
         for job_id in list(wanted):
             if job_id not in waiting:
                 self.booking.forget(job_id)
         for job in waiting.values():
             others = job.node != self.name and job.node in self.book.marks
             # Its own controller searches; two at once would only replace each
-            # other's holds. The queen steps in where nothing comes of it.
-            if others and reign.realm.wanting_s(job, now) < 2 * self.operator.summary_s:
+            # other's holds. The leader steps in where nothing comes of it.
+            if others and leading.realm.wanting_s(job, now) < 2 * self.operator.summary_s:
                 if job.id not in self.booking.mine:
                     self.booking.forget(job.id)
                     continue
@@ -696,17 +696,17 @@
             else:
                 known.turn = turn(job)
             hold = self.booking.mine.get(job.id)
-            if hold is not None and reign.realm.spent(job, hold):
+            if hold is not None and leading.realm.spent(job, hold):
                 del self.booking.mine[job.id]
 
     async def _wanted_of_follower(self, now: float) -> None:
-        """Gangs accepted here that the queen still lists as waiting."""
+        """Gangs accepted here that the leader still lists as waiting."""
         booking = self.booking
         waiting = self.view.waiting
         for job_id, wanted in list(booking.wanted.items()):
             told = waiting.get(job_id)
             if told is None:
-                # Started, or over; if the queen has only not heard of it yet,
+                # Started, or over; if the leader has only not heard of it yet,
                 # she will name this node as its searcher.
                 if self.view.at - wanted.since > 2 * PEER_SUMMARY_S and self.view.all_waiting:
                     booking.forget(job_id)
--- a/topazhold/control/office.py
+++ b/topazhold/control/office.py
@@ -1,4 +1,4 @@
-"""What all duties of a reign share: her crown, the realm, and what is learnt on a failed guard."""
+"""What all duties of a term share: its number, the realm, and what is learnt on a failed guard."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 from topazhold.core import records
 from topazhold.core.cancellations import Cancellations
 from topazhold.core.jobs import Job, JobState
-from topazhold.core.leadership import QUEEN_KEY
+from topazhold.core.leadership import LEADER_KEY
 from topazhold.core.realm import Realm
 from topazhold.core.shelves import Shelves
 from topazhold.settings import Settings
@@ -29,14 +29,14 @@
 
 
 class Deposed(Exception):
-    """The reign is over."""
+    """The term is over."""
 
 
 class Office:
-    """One reign's common ground."""
+    """One term's common ground."""
 
     def __init__(
-        self, settings: Settings, store: Store, realm: Realm, crown: int, mark: int,
+        self, settings: Settings, store: Store, realm: Realm, term: int, mark: int,
         assured: Callable[[float], bool], cancellations: Cancellations | None = None,
     ) -> None:  # fmt: skip
         cluster = settings.cluster
@@ -44,13 +44,13 @@
         self.zones = cluster.zones
         self.store = store
         self.realm = realm
-        self.crown = crown
+        self.term = term
         self.mark = mark
         if cancellations is None:
             workers = cluster.workers
             cancellations = Cancellations(self.node, workers.cancel_s, workers.lease_s)
         self.cancellations = cancellations
-        self.assured = assured  # whether nobody else can be queen yet
+        self.assured = assured  # whether nobody else can be leader yet
         self.report_s = cluster.workers.report_s
         self.retry_s = RETRY_REPORTS * self.report_s
         self.block_s = cluster.workers.lease_s
@@ -62,11 +62,11 @@
 
     def token(self) -> str:
         self._sequence += 1
-        return f"q{self.crown}-{self._sequence}"
+        return f"q{self.term}-{self._sequence}"
 
     def guards(self) -> list[tuple[str, int]]:
-        """Every transaction of hers fails once her reign is over."""
-        return [(QUEEN_KEY, self.mark)]
+        """Every transaction of hers fails once her term is over."""
+        return [(LEADER_KEY, self.mark)]
 
     async def stir(self) -> None:
         """Something changed: plan soon."""
@@ -74,7 +74,7 @@
 
     async def repair(self, keys: list[str]) -> None:
         """Guards failed: learn what changed."""
-        if QUEEN_KEY in keys:
+        if LEADER_KEY in keys:
             raise Deposed("the leadership mark has changed")
         for key in keys:
             try:
--- a/topazhold/control/relay.py
+++ b/topazhold/control/relay.py
@@ -1,8 +1,8 @@
-"""What a follower does for workers that the queen can't reach.
+"""What a follower does for workers that the leader can't reach.
 
-A follower sends workers to the queen. When she is cut from them, or there is
+A follower sends workers to the leader. When she is cut from them, or there is
 none just now, that would cost them their leases and so their tasks. It then
-answers with the known crown and no commands, and passes their reports on.
+answers with the known term and no commands, and passes their reports on.
 """
 
 from __future__ import annotations
@@ -18,7 +18,7 @@
 from topazhold.wire.codec import json_size
 from topazhold.wire.messages import Report
 
-#: A queen that has been silent for this share of a grant's time is cut off.
+#: A leader that has been silent for this share of a grant's time is cut off.
 SILENT_GRANTS = 0.9
 #: Steady clocks drift apart by at most this share.
 DRIFT = 0.002
@@ -96,7 +96,7 @@
         self._since = now
         self._heard: dict[str, float] = {}  # peers, by the time of their last ping
         self._served: dict[str, bool] = {}  # whether the state service serves them
-        self._silent: set[str] = set()  # machines that the queen says she can't hear
+        self._silent: set[str] = set()  # machines that the leader says she can't hear
         self._sent_away: dict[str, float] = {}
         self._kept: dict[str, Report] = {}
 
@@ -104,7 +104,7 @@
         self, peer: str, served: bool, silent: Iterable[str] | None, now: float,
         enforces: bool = True,
     ) -> None:  # fmt: skip
-        """A peer's ping; the queen's carries the machines that she does not hear."""
+        """A peer's ping; the leader's carries the machines that she does not hear."""
         self._heard[peer] = now
         self._enforcing = enforces
         self._served[peer] = served
@@ -148,26 +148,26 @@
 
     def keeps_adrift(self, rep: Report, now: float) -> bool:
         """Whether to answer a worker here although nothing comes of it."""
-        return rep.crown == self._lead.crown > 0 and self._adrift.keeps(rep, now)
+        return rep.term == self._lead.term > 0 and self._adrift.keeps(rep, now)
 
-    def queen_cut(self, now: float) -> bool:
-        """Whether nothing has come from the queen for too long."""
-        queen = self._lead.queen
-        return queen is not None and (
-            now - self._heard.get(queen, self._since) > self._silence_s
+    def leader_cut(self, now: float) -> bool:
+        """Whether nothing has come from the leader for too long."""
+        leader = self._lead.leader
+        return leader is not None and (
+            now - self._heard.get(leader, self._since) > self._silence_s
         )
 
     def keeps(self, rep: Report, now: float) -> bool:
-        """Whether to answer this worker here instead of sending it to the queen."""
+        """Whether to answer this worker here instead of sending it to the leader."""
         lead = self._lead
-        if lead.crown == 0 or rep.crown != lead.crown:
+        if lead.term == 0 or rep.term != lead.term:
             return False
-        if lead.queen is None or lead.queen == lead.node or self.queen_cut(now):
+        if lead.leader is None or lead.leader == lead.node or self.leader_cut(now):
             return True
         if rep.box not in self._silent:
             self._sent_away.pop(rep.box, None)
             return False
-        # The queen lives and does not hear this worker. It is sent to her once
+        # The leader lives and does not hear this worker. It is sent to her once
         # per lease time, which it survives if the way is still closed.
         last = self._sent_away.setdefault(rep.box, now)
         if now - last < self._lease_s:
@@ -184,7 +184,7 @@
     def take(self, limit: int) -> list[Any]:
         """Reports to pass on, as many as fit; the others follow next time.
 
-        Those with ended tasks go first: the queen waits for them.
+        Those with ended tasks go first: the leader waits for them.
         """
         packed: list[Any] = []
         size = 0
--- a/topazhold/control/strikes.py
+++ b/topazhold/control/strikes.py
@@ -27,7 +27,7 @@
 
 
 class Strikes:
-    """Sends kills, rings and heralds directly."""
+    """Sends kills, rings and announcements directly."""
 
     def __init__(
         self, office: Office, sockets: int, dial: Callable[[tuple[str, int], int], Client],
@@ -54,7 +54,7 @@
         """Send what is due, the living and cancelled work first.
 
         In order of name, dead machines kept every place for a report period each,
-        and the kills for cancelled jobs and the new crown came to the living late.
+        and the kills for cancelled jobs and the new term came to the living late.
         """
         realm = self._office.realm
         now = await curio.clock()
@@ -68,7 +68,7 @@
                 return  # the living come first in this order
             realm.strikes.discard(machine.name)
             calls = realm.direct_calls(machine)
-            if calls or realm.needs_herald(machine, now):
+            if calls or realm.needs_announcing(machine, now):
                 silent += is_silent
                 machine.struck_at = now
                 self._striking[machine.name] = is_silent
@@ -78,7 +78,7 @@
         try:
             await self.direct(machine, calls)
         except Deposed as exc:
-            log.info("reign %d ends: %s", self._office.crown, exc)
+            log.info("term %d ends: %s", self._office.term, exc)
             await self.deposed.set()
         finally:
             del self._striking[machine.name]
@@ -88,14 +88,14 @@
         assert machine.endpoint is not None
         try:
             client = await self._clients.at(address(machine.endpoint), len(self._striking))
-            orders = Orders(self._office.crown, calls, machine.flight)
+            orders = Orders(self._office.term, calls, machine.flight)
             status, body = await client.ask(
                 "POST", wire.COMMANDS_PATH, orders, self._office.report_s
             )
             if status in (200, 409):
                 rep = read(body, Report)
-                if rep.crown > self._office.crown:
-                    raise Deposed("a worker knows a higher crown")
+                if rep.term > self._office.term:
+                    raise Deposed("a worker knows a higher term")
                 await self._hear(rep)
         except (NotSent, NoAnswer, BadMessage, ValueError) as exc:
             log.debug("direct to %s: %s", machine.name, exc)
--- a/topazhold/control/takeover.py
+++ b/topazhold/control/takeover.py
@@ -1,4 +1,4 @@
-"""A take-over: what a new queen reads before any decision."""
+"""A take-over: what a new leader reads before any decision."""
 
 from __future__ import annotations
 
--- a/topazhold/control/telling.py
+++ b/topazhold/control/telling.py
@@ -79,7 +79,7 @@
         realm = self._office.realm
         view = View()
         view.at = now
-        view.crown = self._office.crown
+        view.term = self._office.term
         view.directory = realm.directory()
         largest = realm.largest_gang(now)
         view.caches = {zone: realm.offers(zone, now, largest) for zone in self._office.zones}
@@ -106,7 +106,7 @@
                 if count:
                     running[job.id] = count
         values[""] = {
-            "crown": self._office.crown, "at": time.time(), "waiting": waiting,
+            "crown": self._office.term, "at": time.time(), "waiting": waiting,
             "running": running,
         }  # fmt: skip
         return values
@@ -136,10 +136,10 @@
         while True:
             now = await curio.clock()
             values = self.summary(now)
-            await self._tell(("summary", self._office.crown, values))
+            await self._tell(("summary", self._office.term, values))
             items = self.placed_news()
             if items:
-                await self._tell(("placed", self._office.crown, items))
+                await self._tell(("placed", self._office.term, items))
             if now - written_at >= self._summary_s:
                 written_at = now
                 then = self._stored(values)
--- a/topazhold/control/users.py
+++ b/topazhold/control/users.py
@@ -217,7 +217,7 @@
                     USERS, over, token, OUTCOME_S,
                 )  # fmt: skip
             except Conflict:
-                continue  # the queen saved progress, or another cancel came first
+                continue  # the leader saved progress, or another cancel came first
             await self._cancelled(job_id, at)
             self._keep_final(job_id, wire.ABORTED)
             log.info("job %s aborted by its user", job_id)
--- a/topazhold/core/gangs.py
+++ b/topazhold/core/gangs.py
@@ -77,7 +77,7 @@
 
 
 def resume(job: Job, now: float) -> None:
-    """A new queen's first view of a gang: its intents are its tasks."""
+    """A new leader's first view of a gang: its intents are its tasks."""
     if not job.runs:
         job.enter_gang_state(GangState.WAITING, now)
     elif len(job.runs) < job.spec.frames or len({r.attempt for r in job.runs.values()}) > 1:
--- a/topazhold/core/leadership.py
+++ b/topazhold/core/leadership.py
@@ -1,9 +1,12 @@
-"""Who is queen, as one controller knows it.
+"""Who is leader, as one controller knows it.
 
-The queen holds a leased key in the state service. Her reign has a number, the
-crown, kept in a second key that is never leased: both are written in one
-conditional transaction, so a crown is given once. Every transaction of a
-reign guards the leased key's mark, so a late one fails once the reign is over.
+The leader holds a leased key in the state service. Her terms are numbered; the
+number is the fencing token that workers check. It is kept in a second key that is
+never leased: both are written in one conditional transaction, so a number is given
+once. Every transaction of a term guards the leased key's mark, so a late one fails
+once the term is over.
+
+The stored keys and fields keep the names of the first version.
 """
 
 from __future__ import annotations
@@ -11,75 +14,75 @@
 from enum import Enum
 from typing import Any
 
-QUEEN_KEY = "queen/now"
-CROWN_KEY = "crown/last"
+LEADER_KEY = "queen/now"
+TERM_KEY = "crown/last"
 
 
 class Role(Enum):
     FOLLOWER = "follower"
     CANDIDATE = "candidate"
-    QUEEN = "queen"
+    LEADER = "queen"
 
 
 class Leadership:
-    """The controller's role, and the newest reign that it has heard of."""
+    """The controller's role, and the newest term that it has heard of."""
 
     def __init__(self, node: str) -> None:
         self.node = node
         self.role = Role.FOLLOWER
-        self.queen: str | None = None
-        self.crown = 0  # newest crown heard of
+        self.leader: str | None = None
+        self.term = 0  # newest term heard of
 
     @property
-    def reigning(self) -> bool:
-        return self.role is Role.QUEEN
+    def leads(self) -> bool:
+        return self.role is Role.LEADER
 
     def stand(self) -> None:
         """The key is free: try for it."""
         if self.role is Role.FOLLOWER:
             self.role = Role.CANDIDATE
 
-    def win(self, crown: int) -> None:
+    def win(self, term: int) -> None:
         """The election transaction was carried out."""
-        self.role = Role.QUEEN
-        self.queen = self.node
-        self.crown = max(crown, self.crown)
+        self.role = Role.LEADER
+        self.leader = self.node
+        self.term = max(term, self.term)
 
     def step_down(self) -> bool:
         """Give up the role; whether there was one."""
-        was = self.role is Role.QUEEN
+        was = self.role is Role.LEADER
         self.role = Role.FOLLOWER
-        if self.queen == self.node:
-            self.queen = None
+        if self.leader == self.node:
+            self.leader = None
         return was
 
-    def learn(self, queen: str, crown: int) -> bool:
-        """Hear of a reign; True if it ends this node's own."""
-        if crown < self.crown or (crown == self.crown and self.reigning):
+    def learn(self, leader: str, term: int) -> bool:
+        """Hear of a term; True if it ends this node's own."""
+        if term < self.term or (term == self.term and self.leads):
             return False
-        ended = self.reigning and crown > self.crown
+        ended = self.leads and term > self.term
         if ended:
             self.step_down()
-        self.crown = crown
-        self.queen = queen
+        self.term = term
+        self.leader = leader
         return ended
 
-    def vacant(self, crown: int | None = None) -> None:
-        """The key of reign `crown` (or of any) is gone."""
-        if self.role is Role.QUEEN:
+    def vacant(self, term: int | None = None) -> None:
+        """The key of term `term` (or of any) is gone."""
+        if self.role is Role.LEADER:
             return
-        if crown is None or crown >= self.crown:
-            self.queen = None
+        if term is None or term >= self.term:
+            self.leader = None
 
-    def value(self, crown: int) -> dict[str, Any]:
-        return {"node": self.node, "crown": crown}
+    def value(self, term: int) -> dict[str, Any]:
+        return {"node": self.node, "crown": term}
 
 
 def read_value(data: Any) -> tuple[str, int] | None:
-    """Name and crown out of the leased key's value."""
+    """Name and term out of the leased key's value."""
     if not isinstance(data, dict):
         return None
-    node, crown = data.get("node"), data.get("crown")
-    if isinstance(node, str) and isinstance(crown, int) and not isinstance(crown, bool):
-        return node, crown
+    node, term = data.get("node"), data.get("crown")
+    if isinstance(node, str) and isinstance(term, int) and not isinstance(term, bool):
+        return node, term
     return None
--- a/topazhold/core/ledger.py
+++ b/topazhold/core/ledger.py
@@ -1,4 +1,4 @@
-"""What the queen knows: jobs, machines, and the runs of tasks on them.
+"""What the leader knows: jobs, machines, and the runs of tasks on them.
 
 The layers above it each add one duty: `ordering` (commands), `stopping`,
 `observing` (reports and lists), `placing`, and `realm` on top of all.
@@ -21,8 +21,8 @@
 
 log = logging.getLogger(__name__)
 
-#: Attempts are numbered within a reign, so no number is ever used twice.
-ATTEMPTS_PER_REIGN = 1 << 24
+#: Attempts are numbered within a term, so no number is ever used twice.
+ATTEMPTS_PER_TERM = 1 << 24
 #: A gang of one presses once it has waited for this share of its class's longest aim
 #: for a start, or of the longest wait that the operators allow; by urgency.
 PATIENCE = (0.1, 0.2, 0.8, 1.0)
@@ -45,12 +45,12 @@
     """Jobs, machines and runs, and the changes that keep them in step."""
 
     def __init__(
-        self, settings: Settings, operator: Operator, crown: int, book: HoldBook,
+        self, settings: Settings, operator: Operator, term: int, book: HoldBook,
         rng: Random, now: float,
     ) -> None:  # fmt: skip
         cluster = settings.cluster
         workers = cluster.workers
-        self.crown = crown
+        self.term = term
         self.since = now
         self.alpha = operator.alpha
         self.report_s = workers.report_s
@@ -75,7 +75,7 @@
         self.estimates = Estimates()
         self.refusals = renting.Refusals()
         self.last_arrival = now
-        self.next_attempt = crown * ATTEMPTS_PER_REIGN
+        self.next_attempt = term * ATTEMPTS_PER_TERM
         # What is to be done by the outside:
         self.strikes: set[str] = set()  # machines to send kills to directly
         self.rings: set[str] = set()  # machines to be made to report at once
@@ -112,7 +112,7 @@
         self._known_offers: dict[str, tuple[int, float, Offer]] = {}
 
     def add_job(self, job: Job) -> None:
-        """A job is live: accepted just now, or found by a new queen."""
+        """A job is live: accepted just now, or found by a new leader."""
         if job.id not in self.jobs and job.id not in self._over:
             self.jobs[job.id] = job
             if job.spec.lane in self.aimed_waits:
@@ -155,7 +155,7 @@
         if machine is None:
             return
         # While the machine is still known: a run dropped after that would
-        # count against its team's limit for the rest of the reign.
+        # count against its team's limit for the rest of the term.
         for run in list(machine.runs.values()):
             self._drop(run, now)
         del self.machines[name]
@@ -192,7 +192,7 @@
         self.usage.add(run.job)
 
     def adopt(self, run: Run) -> None:
-        """An intent of an earlier reign: possibly running."""
+        """An intent of an earlier term: possibly running."""
         run.unsure = True
         run.state = RunState.ORDERED
         self._attach(run)
--- a/topazhold/core/machines.py
+++ b/topazhold/core/machines.py
@@ -14,7 +14,7 @@
 
 class MachineState(Enum):
     STARTING = "starting"  # rented, its worker has not reported
-    UNSYNCED = "unsynced"  # heard of, but not yet under this reign's crown
+    UNSYNCED = "unsynced"  # heard of, but not yet under this term
     READY = "ready"
     DRAINING = "draining"  # takes no new work: notice, fault or return
     RELEASING = "releasing"  # release asked; nothing may be launched any more
@@ -35,7 +35,7 @@
         self.endpoint: str | None = None
         self.flight = 0
         self.tally = -1
-        self.crown = 0
+        self.term = 0
         self.heard_at: float | None = None
         self.answered_at = -1e9  # last report that was answered, here or by a follower
         self.flight_at = now  # when the present session was first heard of
@@ -53,7 +53,7 @@
         self.unlisted = 0  # lists in a row, asked for after it fell silent, without it
         self.why = ""
         self.reached_at = -1e9  # last report that came to this node itself
-        self.heralded_at = -1e9
+        self.announced_at = -1e9
         self.struck_at = -1e9  # last commanded directly
         self.changes = 0  # of what an offer of its room says
         self.bells: list[tuple[str, int]] = []  # ended tasks kept uncleared, to ring with
@@ -67,7 +67,7 @@
             self.changes += 1
 
     def hear(self, synced: bool, now: float) -> None:
-        """A report arrived; `synced`: it was written under this reign's crown."""
+        """A report arrived; `synced`: it was written under this term."""
         self.heard_at = now
         self.unlisted = 0
         if self.state is MachineState.STARTING:
--- a/topazhold/core/observing.py
+++ b/topazhold/core/observing.py
@@ -69,7 +69,7 @@
                 return None
             machine = self.add_machine(rep.box, rep.apiary, rep.drones, rep.breed, now)
             # A late copy may tell of a machine that is long gone. Until it is
-            # listed, or reports under this crown, it is not counted on.
+            # listed, or reports under this term, it is not counted on.
             machine.rumour = True
         if machine.breed is None:
             machine.breed = self.breeds.get(rep.breed)
@@ -81,7 +81,7 @@
             self._new_flight(machine, rep.flight, now)
         machine.tally = rep.tally
         machine.endpoint = rep.endpoint
-        synced = rep.crown == self.crown
+        synced = rep.term == self.term
         machine.hear(synced, now)
         self._judge_hearing(machine, rep, now)
         if not direct:
@@ -99,8 +99,8 @@
         for run in list(machine.runs.values()):
             # A launch is ordered only in the session that its intent names, and
             # the worker drops answers to reports of an earlier one. So a newer
-            # session settles an earlier reign's intents too, also those of a
-            # deaf machine, which never reports under the new crown.
+            # session settles an earlier term's intents too, also those of a
+            # deaf machine, which never reports under the new term.
             if not run.unsure or run.flight < flight:
                 self._drop(run, now)
         machine.strays.clear()
@@ -113,9 +113,9 @@
 
     def _judge_hearing(self, machine: Machine, rep: Report, now: float) -> None:
         """Whether answers reach the worker, as far as its reports show it."""
-        crown_before, machine.crown = machine.crown, rep.crown
+        term_before, machine.term = machine.term, rep.term
         heard = (
-            rep.crown == self.crown != crown_before
+            rep.term == self.term != term_before
             or now - machine.flight_at > HEARD_LEASES * self.lease_s
         )
         if heard and machine.hears_again():
--- a/topazhold/core/offering.py
+++ b/topazhold/core/offering.py
@@ -22,7 +22,7 @@
     def _present_offer(self, machine: Machine, now: float) -> Offer | None:
         """The machine's offer, made anew only where something changed on it.
 
-        Making every offer anew for every summary and search took a fifth of a queen's
+        Making every offer anew for every summary and search took a fifth of a leader's
         time with 790 machines.
         """
         if machine.state is not MachineState.STARTING and not self.usable(machine, now):
--- a/topazhold/core/ordering.py
+++ b/topazhold/core/ordering.py
@@ -25,10 +25,10 @@
     ) -> list[Call]:
         """The commands for a report's answer: clears, kills, launches, in this order."""
         calls = self._clears(machine, rep) + self.kills(machine)
-        if launches and machine.state is MachineState.READY and rep.crown == self.crown:
+        if launches and machine.state is MachineState.READY and rep.term == self.term:
             for run in machine.runs.values():
                 # Only in the session that the intent names: a newer one then
-                # proves the task gone, also to a queen who comes later.
+                # proves the task gone, also to a leader who comes later.
                 if (
                     run.state is RunState.WRITTEN and not run.stopping
                     and run.flight == rep.flight
--- a/topazhold/core/placing.py
+++ b/topazhold/core/placing.py
@@ -32,7 +32,7 @@
 
     What many jobs ask for is added up once per round: what holds keep, which
     machines have room at all, what a team's lower work takes. Done per job, a
-    round's cost grew with jobs times machines times holds, and a queen of 150
+    round's cost grew with jobs times machines times holds, and a leader of 150
     machines spent her whole share of a core on it.
     """
 
--- a/topazhold/core/realm.py
+++ b/topazhold/core/realm.py
@@ -1,4 +1,4 @@
-"""The queen's view of jobs and machines, and her decisions.
+"""The leader's view of jobs and machines, and her decisions.
 
 Events come in as method calls that carry the time; what is to be done comes
 out in the queues (`strikes`, `releases`, `finished`) and from `plan` and
--- a/topazhold/core/recovery.py
+++ b/topazhold/core/recovery.py
@@ -1,7 +1,7 @@
-"""A new queen's first view: live jobs, intents, holds.
+"""A new leader's first view: live jobs, intents, holds.
 
 Every intent is taken as possibly running until its machine reports under the
-new crown or is released.
+new term or is released.
 """
 
 from __future__ import annotations
@@ -22,7 +22,7 @@
 
 
 def take_over(realm: Realm, jobs: Iterable[Job], intents: Iterable[Intents], now: float) -> None:
-    """Build the realm of a new reign."""
+    """Build the realm of a new term."""
     for job in jobs:
         realm.add_job(job)
         if job.complete and job.state is JobState.LIVE:
--- a/topazhold/core/shelves.py
+++ b/topazhold/core/shelves.py
@@ -30,7 +30,7 @@
 
 
 class Shelves:
-    """All shelves of a reign."""
+    """All shelves of a term."""
 
     def __init__(self, limit: int) -> None:
         self._limit = limit  # size of a value
@@ -40,7 +40,7 @@
         self._last = 0
 
     def found(self, name: str, mark: int, machines: Iterable[str]) -> None:
-        """A shelf that an earlier reign has left."""
+        """A shelf that an earlier term has left."""
         assert name not in self._shelves
         shelf = self._shelves[name] = Shelf(name, mark)
         if name.isdecimal():
@@ -118,7 +118,7 @@
             present = sorted(name for name in shelf.machines if name in machines)
             value = self.value(shelf, machines, token)
             if json_size(value) > self._limit and len(present) > 1:
-                # Its old value still names them: a new queen takes both as they are.
+                # Its old value still names them: a new leader takes both as they are.
                 other = self._new()
                 for name in present[len(present) // 2:]:
                     self._put(name, other)
--- a/topazhold/core/stopping.py
+++ b/topazhold/core/stopping.py
@@ -125,7 +125,7 @@
             elif job.cancelled_at is not None:
                 self._stop_run(run, 0.0, "job aborted", now)
                 age = now - job.cancelled_at
-                # A new queen first hears the workers, unless there is no time.
+                # A new leader first hears the workers, unless there is no time.
                 heard_out = now - self.since > 2.5 * self.report_s or age > 0.8 * self.cancel_s
                 machine = self.machines.get(run.machine)
                 if age > 0.6 * self.cancel_s and heard_out and machine is not None:
@@ -154,11 +154,11 @@
                 reached += now - machine.reached_at < 0.5 * self.lease_s
         return heard >= 2 and reached < 0.3 * heard
 
-    def needs_herald(self, machine: Machine, now: float) -> bool:
-        """Whether a worker has to be told of this reign directly.
+    def needs_announcing(self, machine: Machine, now: float) -> bool:
+        """Whether a worker has to be told of this term directly.
 
-        It may be with a former queen who knows of no other; once it has seen
-        the new crown, her answers are void and its reports tell her so.
+        It may be with a former leader who knows of no other; once it has seen
+        the new term, her answers are void and its reports tell her so.
         """
         return (
             machine.state is MachineState.UNSYNCED
@@ -179,8 +179,8 @@
             return
         if state is MachineState.DRAINING:
             self._drain(machine, now)
-        if self.needs_herald(machine, now) and now - machine.heralded_at > self.report_s:
-            machine.heralded_at = now
+        if self.needs_announcing(machine, now) and now - machine.announced_at > self.report_s:
+            machine.announced_at = now
             self.strikes.add(machine.name)
         deaf_since = machine.deaf_since
         if deaf_since is not None and now - deaf_since > DEAF_LEASES * self.lease_s:
--- a/topazhold/wire/messages.py
+++ b/topazhold/wire/messages.py
@@ -123,7 +123,7 @@
     drones: bool
     flight: int
     tally: int
-    crown: int
+    term: int = msgspec.field(name="crown")  # its highest fencing token
     frames: list[FrameReport]
     smoke_s: float | None = None
 
@@ -152,7 +152,7 @@
 class Orders(msgspec.Struct, omit_defaults=True):
     """Commands, with the right to give them."""
 
-    crown: int
+    term: int = msgspec.field(name="crown")  # the fencing token
     calls: list[Call]
     flight: int | None = None
 
@@ -246,8 +246,8 @@
     return {"id": job, "stage": stage, "done": done, "running": running}
 
 
-def redirect(queen: str | None) -> dict[str, Any]:
-    return {"queen": queen} if queen else {}
+def redirect(leader: str | None) -> dict[str, Any]:
+    return {"queen": leader} if leader else {}
 
 
 def rent_body(ask: str, breed: str, zone: str, spot: bool, count: int) -> dict[str, Any]:
