--- a/topazhold/core/placing.py
+++ b/topazhold/core/placing.py
@@ -32,7 +32,7 @@
 
     What many jobs ask for is added up once per round: what holds keep, which
     machines have room at all, what a team's lower work takes. Done per job, a
-    round's cost grew with jobs times machines times holds, and a queen of 150
+    round's cost grew with jobs times machines times holds, and a leader of 150
     machines spent her whole share of a core on it.
     """
 
@@ -337,6 +337,8 @@
         self, job: Job, planned: list[Run], now: float
     ) -> None:
         spec = job.spec
+        if not self.usage.allows(job, 1, self._claimed(job)):
+            return  # its team's limit, whatever room there is
         taken = self._held.taken(job.id, preemption.turn(job), spec.cap_s > 0)
         places = self._array_places(job, taken, now)
         zones = job.zones_used(self.zone_of) if spec.same_place or spec.scatter else {}
