--- a/topazhold/core/search.py
+++ b/topazhold/core/search.py
@@ -234,19 +234,19 @@
 def score_group(group: Sequence[Slot], spec: JobSpec, rules: SearchRules) -> float:
     """Lower is better; infinite if the job's placement rules are broken."""
     zones: dict[str, int] = {}
-    counts: dict[str, list[int]] = {}
     wait = 0.0
     cost = 0.0
+    shared = False
     for slot in group:
         zone = slot.offer.zone
         zones[zone] = zones.get(zone, 0) + 1
-        counts.setdefault(slot.offer.name, []).append(slot.nth)
-        wait = max(wait, slot.ready)
+        if slot.nth:
+            shared = True
+        if slot.ready > wait:
+            wait = slot.ready
         cost += slot.cost
-    for nths in counts.values():
-        # The nth slot of a machine counts on the ones before it.
-        if max(nths) >= len(nths):
-            return math.inf
+    if shared and _lacks_lower(group):
+        return math.inf
     centre = max(zones.values())
     if spec.same_place and len(zones) > 1:
         return math.inf
@@ -256,6 +256,14 @@
     return wait + rules.distance_s * distance + cost / len(group)
 
 
+def _lacks_lower(group: Sequence[Slot]) -> bool:
+    """The nth slot of a machine counts on the ones before it."""
+    counts: dict[str, list[int]] = {}
+    for slot in group:
+        counts.setdefault(slot.offer.name, []).append(slot.nth)
+    return any(max(nths) >= len(nths) for nths in counts.values())
+
+
 def pick(rng: Random, slots: Sequence[Slot], spec: JobSpec, rules: SearchRules) -> Group | None:
     """The group of N among the candidates with the lowest score.
 
@@ -328,9 +336,9 @@
     swapped = list(group)
     inside = {id(slot) for slot in group}
     for _ in range(4):
-        other = slots[rng.randrange(len(slots))]
+        other = slots[int(rng.random() * len(slots))]  # randrange takes five times as long
         if id(other) not in inside:
-            swapped[rng.randrange(len(swapped))] = other
+            swapped[int(rng.random() * len(swapped))] = other
             break
     return swapped
 
@@ -358,8 +366,15 @@
     """The best group of a few independent searches, each from its own pivot."""
     best: Group | None = None
     seen: dict[str, list[Slot]] = {}
+    settled: set[str] = set()
     for _ in range(tries):
         slots = gather(rng, directory, caches, spec, rank, taken, rules, seen)
+        if slots and spec.same_place and math.comb(len(slots), spec.frames) <= MOST_GROUPS:
+            # All groups of this zone are looked at the first time.
+            zone = slots[0].offer.zone
+            if zone in settled:
+                continue
+            settled.add(zone)
         group = pick(rng, slots, spec, rules) if slots else None
         if group is not None and (best is None or group.score < best.score):
             best = group
