A gang of one zone gets a machine when its room is there, but in several zones

The floor for the largest gang of a zone was met by machines that others used.

Now, for the longest waiting gang that presses, has no task on a machine and finds its room in several zones only, what it lacks is wished for in the roomiest zone.

--- a/tests/test_realm.py
+++ b/tests/test_realm.py
@@ -702,3 +702,23 @@
     other.spec.forage_s = 300.0
     bench.now += bench.realm.report_s
     assert [run.job for run in bench.plan()] == [array]
+
+
+def test_gang_of_one_zone_gets_a_machine_though_free_ones_are_elsewhere(bench: Bench) -> None:
+    """Beside work that ran on for hours it waited as long: a machine was free in each zone,
+    and the zone's floor was met by machines that others used."""
+    for zone in "ab":
+        long_run = bench.job(make_spec(ord(zone), shape="batch", frames=1, cards=4.0, apiary=zone))
+        assert long_run is not None
+    bench.plan()
+    bench.all_report()
+    gang = bench.job(make_spec(7, frames=2, cards=4.0, drones=False))
+    assert bench.plan() == []
+    bench.realm.last_arrival = -1e9  # no headroom while nothing comes
+    assert bench.realm.rent(bench.now) == [], "not at once: others may be done soon"
+    bench.now += bench.realm.patience_s(gang) + 1.0
+    bench.all_report()
+    bench.realm.tick(bench.now)
+    bench.realm.last_arrival = -1e9
+    asks = bench.realm.rent(bench.now)
+    assert [ask.count for ask in asks] == [1]
--- a/topazhold/core/realm.py
+++ b/topazhold/core/realm.py
@@ -11,11 +11,12 @@
 
 from topazhold.core import preemption, renting
 from topazhold.core.holds import add_hold
-from topazhold.core.jobs import Job, Room
+from topazhold.core.jobs import Job, JobState, Room
 from topazhold.core.ledger import UP
-from topazhold.core.machines import Machine
+from topazhold.core.machines import Machine, times_fits
 from topazhold.core.placing import Placing
-from topazhold.core.search import CACHE_LENGTH, Offer, sooner
+from topazhold.core.search import CACHE_LENGTH, Offer, allowed, sooner
+from topazhold.wire.messages import Breed
 
 #: How old a list of offers may be.
 OFFER_REPORTS = 0.2
@@ -122,6 +123,42 @@
             and not math.isinf(self._patience_leases(machine, now))
         )
 
+    def _wish_for_one_zone(self, found: renting.Wishes, breeds: list[Breed]) -> None:
+        """Machines for a gang that presses while its room is there, but in several zones.
+
+        What is wished for a zone counts on others' work there to end in time. Beside
+        work that ran on for minutes a gang of one zone waited as long, and a machine
+        of another zone stood free.
+        """
+        gangs = [
+            job for job in self.jobs.values()
+            if job.gang and job.pressing and job.state is JobState.LIVE and not job.runs
+            and job.spec.same_place and job.spec.apiary is None
+        ]  # fmt: skip
+        for job in sorted(gangs, key=lambda job: (job.arrived, job.id)):
+            breed = renting.best_breed(job.spec, breeds)
+            if breed is None or not self._limit_reachable(job):
+                continue
+            free: dict[str, int] = dict.fromkeys(breed.apiaries, 0)
+            spot = job.spec.drones and self.rent_rules.use_spot and breed.market_price is not None
+            there: dict[str, int] = {}
+            for machine in self.machines.values():
+                if not renting.counted(machine) or machine.breed is None:
+                    continue
+                there[machine.zone] = there.get(machine.zone, 0) + (machine.spot is spot)
+                if allowed(job.spec, machine.breed.label, machine.zone, machine.spot):
+                    slots = times_fits(job.need, machine.free(), job.spec.frames)
+                    free[machine.zone] = free.get(machine.zone, 0) + slots
+            if max(free.values()) >= job.spec.frames or sum(free.values()) < job.spec.frames:
+                continue
+            zone = max(breed.apiaries, key=lambda zone: (free[zone], zone))
+            whole = (breed.vcpus, breed.cards, breed.ram_gb)
+            each = times_fits(job.need, whole, job.spec.frames)
+            more = math.ceil((job.spec.frames - free[zone]) / each)
+            wish = found.setdefault((breed.label, spot), renting.Wish())
+            wish.at_least(there.get(zone, 0) + more, zone)
+            return  # one at a time
+
     def rent(self, now: float) -> list[renting.Ask]:
         """Rental requests; idle machines that are not wanted go to `releases`."""
         breeds = list(self.breeds.values())
@@ -131,6 +168,7 @@
         found = renting.wishes(
             self.jobs.values(), breeds, self.usage.teams, self.zone_of, self.rent_rules, growing
         )
+        self._wish_for_one_zone(found, breeds)
         self._lower = {}
         held = {name for hold in self.book.all() if self._binding(hold) for name in hold.slots}
         asks: list[renting.Ask] = []
