A leader after a long outage hears the workers before she releases machines

Now she waits for a lease past cancel_s, when haste gains nothing. Ruled out: keeping no machine at all past cancel_s (one that hangs would keep its task). Test seen to fail first.

--- a/tests/test_cancellations.py
+++ b/tests/test_cancellations.py
@@ -20,6 +20,7 @@
 from topazhold.control.node import Node
 from topazhold.core.cancellations import MOST_TOLD, Cancellations
 from topazhold.core.placements import Placements
+from topazhold.core.realm import Realm
 from topazhold.io.http import Answer
 from topazhold.wire.messages import FrameReport, Orders, Report
 
@@ -106,6 +107,39 @@
     assert scene.took_s() < 0.9 * scene.workers.cancel_s
 
 
+@pytest.mark.parametrize("site", SITES)
+def test_leader_after_the_outage_hears_the_workers_first(
+    site: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The intents still name the tasks that were killed in the outage."""
+    reasons: list[tuple[int, str]] = []  # by term: the ended process is only cut off here
+    terms: list[int] = []
+    scenes: list[Scene] = []
+    release = Realm.release
+
+    def noted(self: Realm, machine: Any, why: str, now: float) -> None:
+        if scenes and machine.name in scenes[0].cloud.workers:  # others are gone in fact
+            reasons.append((self.term, why))
+        release(self, machine, why, now)
+
+    async def over(scene: Scene, leader: str, confirmer: str) -> None:
+        scenes.append(scene)
+        await scene.end(leader)
+        await curio.sleep(1.1 * scene.workers.cancel_s)
+        assert not scene.busy_workers()
+        scene.state.set_down(False)
+        new = await scene.new_leader(leader)
+        terms.append(scene.nodes[new].leading.term)
+        named = [m for m in scene.nodes[new].leading.realm.machines.values() if m.runs]
+        assert len(named) > 3, "as far as she knows the tasks may be there"
+        await curio.sleep(4 * scene.workers.report_s)
+        scene.state.set_down(True)
+
+    monkeypatch.setattr(Realm, "release", noted)
+    assert_rules(gap(over, monkeypatch, site))
+    assert [w for term, w in reasons if term in terms and w.startswith("can't stop")] == []
+
+
 @pytest.mark.parametrize("site", SITES)
 def test_gap_without_links(site: str, monkeypatch: pytest.MonkeyPatch) -> None:
     """No controller hears another: the confirmer sees to it herself."""
--- a/topazhold/core/stopping.py
+++ b/topazhold/core/stopping.py
@@ -125,8 +125,13 @@
             elif job.cancelled_at is not None:
                 self._stop_run(run, 0.0, "job aborted", now)
                 age = now - job.cancelled_at
-                # A new leader first hears the workers, unless there is no time.
-                heard_out = now - self.since > 2.5 * self.report_s or age > 0.8 * self.cancel_s
+                # A new leader first hears the workers, unless there is no time; past
+                # `cancel_s` nothing is gained by haste. After an outage of that length
+                # she released 120 machines unheard, whose tasks had long been killed.
+                past = age > self.cancel_s
+                hearing_s = self.lease_s if past else 2.5 * self.report_s
+                no_time = not past and age > 0.8 * self.cancel_s
+                heard_out = now - self.since > hearing_s or no_time
                 machine = self.machines.get(run.machine)
                 if age > 0.6 * self.cancel_s and heard_out and machine is not None:
                     # A task that nobody can be shown to have stopped takes its
