Services: replicas placed, replaced and kept off other work; sizes within later limits

Cause: jobs of shape daemon were placed like arrays, ranked behind other teams' work, and counted done when a replica ended; values and transactions were cut to the present limits of the state service only, so every shard and summary was refused once the limits fell.

--- a/tests/test_intent_shards.py
+++ b/tests/test_intent_shards.py
@@ -4,7 +4,7 @@
 
 from tests.conftest import Bench, make_spec
 from topazhold.core import records, recovery
-from topazhold.core.intent_shards import MOST_ON_SHELF, IntentShards
+from topazhold.core.intent_shards import MAX_MACHINES, IntentShards
 from topazhold.core.jobs import Job, Run
 from topazhold.wire.codec import json_size
 
@@ -30,7 +30,7 @@
     shards = IntentShards(7000)
     machines = bench.scheduler.machines
     used = {shards.of(machine, machines).name for machine in machines.values()}
-    assert len(used) == 2 * -(-20 // MOST_ON_SHELF)
+    assert len(used) == 2 * -(-20 // MAX_MACHINES)
     for name in used:
         zones = {machines[m].zone for m in shards._shards[name].machines}
         assert len(zones) == 1
--- a/topazhold/control/booking.py
+++ b/topazhold/control/booking.py
@@ -12,6 +12,7 @@
 import curio
 
 from topazhold.control.store import DECISIONS, TROUBLE, Conflict, Store
+from topazhold.core import records
 from topazhold.core.holds import HOLD_PREFIX, Hold, HoldTable, Turn, pack_value
 from topazhold.core.jobs import Job
 from topazhold.core.preemption import turn
@@ -131,7 +132,7 @@
         self._settle_s = operator.summary_s
         self._report_s = workers.report_s
         self._tries = 2 * len(settings.cluster.zones)
-        self._limit = int(settings.cluster.state.value_kb * 1024 * 0.9)
+        self._limit = int(settings.cluster.state.lasting_value_bytes * records.VALUE_SHARE)
         self._most_holds = self._limit // HOLD_BYTES
         self._zones = settings.cluster.zones
         self.rules = SearchRules(
--- a/topazhold/control/intents.py
+++ b/topazhold/control/intents.py
@@ -26,7 +26,9 @@
 
     def __init__(self, context: TermContext) -> None:
         self._context = context
-        self._most_values = max(1, min(context.txn_ops // 2, TXN_BYTES // context.value_limit))
+        # What a transaction takes, and what is planned for it: a shard may be split.
+        self._max_values = max(1, min(context.txn_ops, TXN_BYTES // context.value_limit))
+        self._planned_values = max(1, min(context.txn_ops - 1, self._max_values))
 
     async def write(self, runs: list[Run]) -> None:
         """Commit the intents of a plan, a few machines at a time, before any launch."""
@@ -41,11 +43,11 @@
         """
         context = self._context
         machines = context.scheduler.machines
-        by_shelf: dict[str, list[Run]] = {}
+        by_shard: dict[str, list[Run]] = {}
         for run in runs:
             machine = machines.get(run.machine)
             if machine is not None:
-                by_shelf.setdefault(context.shards.of(machine, machines).name, []).append(run)
+                by_shard.setdefault(context.shards.of(machine, machines).name, []).append(run)
         # The leader's own mark, and one for every value that may be put.
         most_jobs = (
             CONDITIONS_PER_OPERATION * context.txn_ops - len(context.conditions()) - context.txn_ops
@@ -53,10 +55,10 @@
         batch: list[Run] = []
         shards: set[str] = set()
         jobs: set[str] = set()
-        for shard, of_shelf in by_shelf.items():
-            for run in of_shelf:
+        for shard, of_shard in by_shard.items():
+            for run in of_shard:
                 full = run.job.id not in jobs and len(jobs) >= most_jobs
-                if full or (shard not in shards and len(shards) >= self._most_values):
+                if full or (shard not in shards and len(shards) >= self._planned_values):
                     yield batch
                     batch, shards, jobs = [], set(), set()
                 batch.append(run)
@@ -65,7 +67,8 @@
         if batch:
             yield batch
 
-    async def _write_batch(self, batch: list[Run]) -> None:
+    async def _write_batch(self, batch: list[Run], retried: bool = False) -> None:
+        """Commit the intents of some runs; `retried`: all that was too much is written apart."""
         scheduler = self._context.scheduler
         token = self._context.token()
         shards = {
@@ -74,18 +77,19 @@
             if run.machine in scheduler.machines
         }
         values = self._context.shards.values(shards, scheduler.machines, token)
-        if not values:
+        if not values or any(shard.name not in values for shard in shards):
             scheduler.intents_failed(batch, await curio.clock())
             return
-        if len(values) > self._most_values and len(batch) > 1:
-            # Shelves that were too full have given machines to new ones.
-            if not await self._write_apart():
+        if len(values) > self._max_values:
+            # Shards that were too full have given machines to new ones.
+            if not await self._write_apart() or (len(batch) == 1 and retried):
                 scheduler.intents_failed(batch, await curio.clock())
                 await curio.sleep(self._context.retry_s)
                 return
-            half = len(batch) // 2
-            await self._write_batch(batch[:half])
-            await self._write_batch(batch[half:])
+            half = (len(batch) + 1) // 2
+            for part in (batch[:half], batch[half:]):
+                if part:
+                    await self._write_batch(part, retried=len(part) == len(batch))
             return
         conditions = self._context.conditions()
         operations = []
@@ -140,7 +144,7 @@
             except Conflict as exc:
                 await context.repair(exc.keys)
             except TROUBLE as exc:
-                log.debug("shelf %s not written apart: %s", shard.name, exc)
+                log.debug("shard %s not written apart: %s", shard.name, exc)
                 return False
             else:
                 context.shards.marked(shard.name, revision)
@@ -149,7 +153,14 @@
     async def tidy(self, shards: set[IntentShard]) -> None:
         """Intents of machines that are gone; a new leader would find that out by itself."""
         context = self._context
-        values = context.shards.values(shards, context.scheduler.machines, context.token())
+        machines = context.scheduler.machines
+        values = context.shards.values(shards, machines, context.token())
+        if context.shards.unwritten():
+            # Written first, and by themselves: machines that a shard has given away would
+            # for a moment stand in no value.
+            if not await self._write_apart():
+                return
+            values = context.shards.values(shards, machines, context.token())
         for name, (revision, value) in values.items():
             key = records.on_key(name)
             change = wire.put(key, value) if value["boxes"] else wire.drop(key)
--- a/topazhold/control/node.py
+++ b/topazhold/control/node.py
@@ -94,8 +94,7 @@
         self.store = Store(
             dial(state, 6),
             dial(state, 4),
-            cluster.state.rps,
-            cluster.state.write_rps,
+            cluster.state,
             timeout_s=0.4 * self.grant_s,
         )
         self.cloud = Cloud(
--- a/topazhold/control/report_relay.py
+++ b/topazhold/control/report_relay.py
@@ -19,10 +19,10 @@
 log = logging.getLogger(__name__)
 
 #: Messages with kept workers' reports a report period, and the size of one; the
-#: share of a transaction's changes for them where only the state service is left.
+#: share of the changes a second for them where only the state service is left.
 RELAY_FRAMES = 8
 RELAY_FRAME_BYTES = FRAME_LIMIT // 4
-RELAY_SHARE = 0.25
+RELAY_SHARE = 0.2
 
 
 class ReportRelay:
@@ -49,7 +49,10 @@
     async def loop(self) -> None:
         """Pass kept workers' reports on: by the link, or the state service."""
         state = self._limits
-        limit = int(state.value_kb * 1024 * 0.9)
+        limit = int(state.lasting_value_bytes * records.VALUE_SHARE)
+        # Of the changes a second, as many as a share allows, in a transaction's worth.
+        by_rate = RELAY_SHARE * state.lasting_write_rps * self._report_s
+        most = max(1, int(min(by_rate, state.lasting_txn_ops, TXN_BYTES // limit)))
         while True:
             await curio.sleep(self._report_s)
             lead = self._leadership
@@ -66,8 +69,7 @@
             # A whole zone's reports don't fit one value: several, within a share of
             # what a transaction takes and of the changes a second.
             changes = []
-            most = min(int(state.txn_ops * RELAY_SHARE), TXN_BYTES // limit)
-            for number in range(max(1, most)):
+            for number in range(most):
                 reports = self._fallback.take(limit)
                 if not reports:
                     break
--- a/topazhold/control/store.py
+++ b/topazhold/control/store.py
@@ -10,8 +10,9 @@
 from topazhold.io.client import Client
 from topazhold.io.http import NoAnswer, NotSent
 from topazhold.io.rate import Bucket
+from topazhold.settings import State as StateLimits
 from topazhold.wire import messages as wire
-from topazhold.wire.codec import BadMessage, read
+from topazhold.wire.codec import BadMessage, json_size, read
 from topazhold.wire.messages import Entry
 
 log = logging.getLogger(__name__)
@@ -52,14 +53,15 @@
     """One controller's access, within its share of the service's limits."""
 
     def __init__(
-        self, client: Client, watching: Client, rps: float, write_rps: float, timeout_s: float
+        self, client: Client, watching: Client, limits: StateLimits, timeout_s: float
     ) -> None:
         self._client = client
         self._watching = watching
-        self._rps = rps
-        self._write_rps = write_rps
-        self._reads = Bucket(rps)
-        self._writes = Bucket(write_rps)
+        self._limits = limits
+        self._lowered = False  # whether the service has shown that its limits may be lower
+        self._share = 1.0
+        self._reads = Bucket(limits.rps)
+        self._writes = Bucket(limits.write_rps)
         self._timeout_s = timeout_s
         self.failing_since: float | None = None
 
@@ -71,8 +73,23 @@
 
     def set_share(self, share: float) -> None:
         """This node's share of the limits."""
-        self._reads.set_rate(self._rps * share)
-        self._writes.set_rate(self._write_rps * share)
+        self._share = share
+        limits = self._limits
+        rps = limits.lasting_rps if self._lowered else limits.rps
+        write_rps = limits.lasting_write_rps if self._lowered else limits.write_rps
+        self._reads.set_rate(rps * share)
+        self._writes.set_rate(write_rps * share)
+
+    def _over_limit(self) -> None:
+        """The service refused a request that the present limits allow: they may have fallen.
+
+        They fall without notice and for good, so from now on this node keeps to the
+        lower ones. Where the refusal had another reason, that costs little.
+        """
+        if not self._lowered:
+            self._lowered = True
+            self.set_share(self._share)
+            log.info("state service refuses for its rate: keeping to the lower limits")
 
     async def turn(self, rank: float, writes: int) -> None:
         """Let time pass until the limits allow a request, within bounds."""
@@ -117,6 +134,8 @@
         if status in (429, 503):
             if status == 503:
                 self._failed(now)
+            else:
+                self._over_limit()
             raise StoreDown(f"status {status}")
         self.failing_since = None
         return status, body
@@ -167,8 +186,14 @@
             return read(answer, wire.Committed).revision
         if status == 409:
             raise Conflict(read(answer, wire.Committed).failed)
-        # 400 comes where a lease ended while the transaction was on its way.
-        log.info("state service answered %d to a transaction: %r", status, answer[:200])
+        # 400 comes where a lease ended while the transaction was on its way, and for a
+        # value or a transaction that is too large.
+        log.info(
+            "state service answered %d to a transaction: %r; changes: %s",
+            status,
+            answer[:200],
+            ", ".join(f"{wire.changed_key(each)} ({json_size(each)})" for each in operations),
+        )
         raise StoreDown(f"status {status}")
 
     async def commit(
--- a/topazhold/control/term_context.py
+++ b/topazhold/control/term_context.py
@@ -63,8 +63,8 @@
         self.report_s = cluster.workers.report_s
         self.retry_s = RETRY_REPORTS * self.report_s
         self.block_s = cluster.workers.lease_s
-        self.value_limit = int(cluster.state.value_kb * 1024 * 0.9)
-        self.txn_ops = cluster.state.txn_ops
+        self.value_limit = int(cluster.state.lasting_value_bytes * records.VALUE_SHARE)
+        self.txn_ops = cluster.state.lasting_txn_ops
         self.shards = IntentShards(self.value_limit)
         self.wake = curio.Event()
         self._sequence = 0
--- a/topazhold/control/users.py
+++ b/topazhold/control/users.py
@@ -52,7 +52,7 @@
     ) -> None:
         self._node = settings.node_name
         self._teams = {team.name: team for team in settings.cluster.teams}
-        self._value_limit = int(settings.cluster.state.value_kb * 1024)
+        self._value_limit = settings.cluster.state.lasting_value_bytes
         self._store = store
         self._machine_types = machine_types
         self._accepted = accepted
@@ -129,7 +129,7 @@
         job = Job(spec, await curio.clock(), time.time(), self._node)
         token = self._token()
         value = records.live_value(job, token)
-        if json_size(value) > self._value_limit:
+        if json_size(value) + records.marks_size(spec) > self._value_limit:
             return Answer(400)
         key = records.live_key(job_id)
         conditions = [(key, 0), (records.over_key(job_id), 0)]
@@ -176,7 +176,7 @@
 
     @staticmethod
     def _team_takes(team: Team, spec: JobSpec) -> bool:
-        tasks = spec.tasks if spec.gang else 1
+        tasks = spec.tasks if spec.needs_all else 1
         return team_limit_allows(team, spec.cpus * tasks, spec.gpus * tasks)
 
     # -- poll --------------------------------------------------------------
--- a/topazhold/core/intent_shards.py
+++ b/topazhold/core/intent_shards.py
@@ -15,7 +15,7 @@
 from topazhold.wire.codec import json_size
 
 #: Machines that share a value; fewer if their intents don't fit.
-MOST_ON_SHELF = 16
+MAX_MACHINES = 16
 
 
 class IntentShard:
@@ -68,8 +68,10 @@
         shard = self._of.get(machine.name)
         if shard is None:
             for other in self._shards.values():
+                if len(other.machines) >= MAX_MACHINES:
+                    continue
                 zones = {machines[name].zone for name in other.machines if name in machines}
-                if len(other.machines) < MOST_ON_SHELF and zones <= {machine.zone}:
+                if zones <= {machine.zone}:
                     shard = other
                     break
             else:
@@ -107,6 +109,9 @@
     ) -> dict[str, tuple[int, Any]]:
         """Mark and new value of each shard; one that is too full gives machines away.
 
+        A shard whose only machine is too large for a value has none here: it can't be
+        written, and what the state service has of it stays.
+
         A shard that took machines over goes along until it is written: if a
         transaction with both failed and the next one had the old shard alone,
         the intents of the machines that left it would be nowhere.
@@ -115,15 +120,33 @@
         waiting = sorted({*shards, *self._unwritten}, key=lambda shard: shard.name)
         while waiting:
             shard = waiting.pop(0)
-            present = sorted(name for name in shard.machines if name in machines)
             value = self.value(shard, machines, token)
-            if json_size(value) > self._limit and len(present) > 1:
-                # Its old value still names them: a new leader takes both as they are.
-                other = self._new()
-                for name in present[len(present) // 2 :]:
-                    self._put(name, other)
-                self._unwritten.add(other)
-                waiting += [shard, other]
+            if json_size(value) <= self._limit:
+                found[shard.name] = (shard.revision, value)
                 continue
-            found[shard.name] = (shard.revision, value)
+            other = self._split(shard, machines)
+            if other is not None:
+                waiting += [shard, other]
         return found
+
+    def _split(self, shard: IntentShard, machines: Mapping[str, Machine]) -> IntentShard | None:
+        """Give half of a shard's machines to a new one; None if that is no help.
+
+        The old value still names them: a new leader takes both as they are. A machine
+        whose intents alone are too large, as an earlier version left them under larger
+        limits, stays: that value names it already, and no other could.
+        """
+        present = sorted(name for name in shard.machines if name in machines)
+        movable = [name for name in present if self._fits_alone(machines[name])]
+        if len(movable) == len(present):
+            movable = movable[len(movable) // 2 :] if len(movable) > 1 else []
+        if not movable:
+            return None
+        other = self._new()
+        for name in movable:
+            self._put(name, other)
+        self._unwritten.add(other)
+        return other
+
+    def _fits_alone(self, machine: Machine) -> bool:
+        return json_size(records.on_value([machine], "")) <= self._limit
--- a/topazhold/core/jobs.py
+++ b/topazhold/core/jobs.py
@@ -174,6 +174,7 @@
         self.revision = 0
         self.state = JobState.LIVE
         self.gang = spec.gang
+        self.service = spec.service
         self.need: Room = (spec.cpus, spec.gpus, spec.memory_gb)
         self.level = wire.URGENCIES.index(spec.urgency)
         self.within = False
@@ -234,7 +235,8 @@
                 self.place_again(run.index)
 
     def mark_done(self, index: int) -> None:
-        if not self.done[index]:
+        """A task has completed; a service's replica never does, whatever its worker says."""
+        if not self.done[index] and not self.service:
             self.done[index] = 1
             self.done_count += 1
             self.unsaved.add(index // PART)
@@ -275,6 +277,9 @@
         return _marks_to_text(marks)
 
     def load_part(self, part: int, text: str) -> None:
+        """Done marks as they were saved; none are believed of a service."""
+        if self.service:
+            return
         for offset in _text_to_marks(text):
             index = part * PART + offset
             if index < self.spec.tasks and not self.done[index]:
--- a/topazhold/core/ledger.py
+++ b/topazhold/core/ledger.py
@@ -69,7 +69,7 @@
             operator.headroom_share, operator.idle_boots, operator.use_spot
         )
         self.most_machine_runs = max(
-            1, int(cluster.state.value_kb * 1024 - 512) // records.RUN_BYTES
+            1, (cluster.state.lasting_value_bytes - 512) // records.RUN_BYTES
         )
         self.hold_table = hold_table
         self.rng = rng
@@ -113,6 +113,8 @@
         self._least: Room = NO_ROOM
         self._needs: set[Room] = set()  # sizes of tasks that wait
         self._full: set[object] = set()  # kinds of arrays that found no room
+        self._work_kinds: list[Room] | None = None  # sizes of tasks other than services'
+        self._hindrances: dict[object, float] = {}  # by what services take of a machine
         # By gang: the hold that was last checked, and the count of the fleet's changes then.
         self._checked: dict[str, tuple[Hold, int]] = {}
         # Of the last look at all machines: zone -> up, silent, deaf.
--- a/topazhold/core/observing.py
+++ b/topazhold/core/observing.py
@@ -15,6 +15,10 @@
 
 #: A job that failed on so many machines is taken to be at fault itself.
 BAD_JOB_MACHINES = 3
+#: How often the pause of a job that fails everywhere doubles.
+MAX_DOUBLINGS = 5
+#: For so many leases a machine on which a replica ended by itself is remembered.
+FAILURES_LEASES = 4.0
 #: So many answers with launches that did not arrive make a machine deaf.
 LOST_COMMANDS = 2
 #: A session that ends so soon (in leases) after an answer has not heard the answer,
@@ -249,10 +253,11 @@
         if cause == wire.CAUSE_DONE:
             machine.error_jobs.clear()
             machine.fetched(spec.image, spec.image_gb)
-            if run.running_since is not None and job.progress_s == 0.0 and not run.stopping:
+            counts = job.progress_s == 0.0 and not run.stopping and not job.service
+            if run.running_since is not None and counts:
                 self.estimates.learn(spec.job_class, spec.estimated_run_s, now - run.running_since)
             self._credit((job.id, run.index), now)
-        elif cause == wire.CAUSE_ERROR:
+        elif cause == wire.CAUSE_ERROR and not job.service:
             self._failed(machine, job, now)
         elif cause == wire.CAUSE_NO_ROOM:
             machine.sick_until = now + 2 * self.report_s
@@ -260,6 +265,8 @@
             job.not_before = now + 2 * self.report_s
         if job.gang and run.running_since is not None and cause != wire.CAUSE_DONE:
             self._gang_progress(run, cause, now)
+        if job.service and not run.stopping and cause in (wire.CAUSE_DONE, wire.CAUSE_ERROR):
+            self._replica_ended(machine, run, now)
         self._drop(run, now)
 
     def _gang_progress(self, run: Run, cause: str, now: float) -> None:
@@ -281,13 +288,40 @@
             # A job that fails everywhere must not take the machines with it.
             for other in self.machines.values():
                 other.error_jobs.discard(job.id)
-            doublings = min(len(job.failed_on) - BAD_JOB_MACHINES, 5)
+            doublings = min(len(job.failed_on) - BAD_JOB_MACHINES, MAX_DOUBLINGS)
             job.not_before = now + self.lease_s * 2**doublings
         else:
-            machine.error_jobs.add(job.id)
-            if len(machine.error_jobs) >= SICK_JOBS:
-                machine.drain("sick", now)
-                log.info("machine %s is sick: errors of %d jobs", machine.name, SICK_JOBS)
+            self._blame(machine, job, now)
+
+    def _replica_ended(self, machine: Machine, run: Run, now: float) -> None:
+        """A replica ended by itself: it is placed again, later each time if it keeps ending.
+
+        A job that has replicas running is not at fault itself, so its errors count against
+        the machine, and it never waits for long.
+        """
+        job = run.job
+        started_at = run.running_since
+        if run.cause == wire.CAUSE_DONE and started_at is not None:
+            if now - started_at > self.lease_s:
+                return
+        job.failed_on[machine.name] = now
+        for name, at in list(job.failed_on.items()):
+            if now - at > FAILURES_LEASES * self.lease_s:
+                del job.failed_on[name]
+        others_run = any(other.state is RunState.RUNNING for other in job.runs.values())
+        failures = len(job.failed_on)
+        if run.cause == wire.CAUSE_ERROR and (others_run or failures < BAD_JOB_MACHINES):
+            self._blame(machine, job, now)
+        if failures >= BAD_JOB_MACHINES:
+            base_s = self.report_s if others_run else self.lease_s
+            job.not_before = now + base_s * 2 ** min(failures - BAD_JOB_MACHINES, MAX_DOUBLINGS)
+
+    def _blame(self, machine: Machine, job: Job, now: float) -> None:
+        """A job that is not at fault itself failed on a machine."""
+        machine.error_jobs.add(job.id)
+        if len(machine.error_jobs) >= SICK_JOBS:
+            machine.drain("sick", now)
+            log.info("machine %s is sick: errors of %d jobs", machine.name, SICK_JOBS)
 
     def _credit(self, key: tuple[str, int], now: float) -> None:
         """A task has completed."""
--- a/topazhold/core/offering.py
+++ b/topazhold/core/offering.py
@@ -55,9 +55,9 @@
             rungs.append((0.0 if machine.wake_tasks else 0.5 * self.report_s, room))
             ends = []
             for run in machine.runs.values():
-                # A service's task does not end by itself. Its estimate of 0 s made it seem
+                # A service's replica does not end by itself. Its estimate of 0 s made it seem
                 # about to: a gang held the machine for good while another stood empty.
-                if run.present and (run.stopping or run.job.spec.shape != wire.DAEMON):
+                if run.present and (run.stopping or not run.job.service):
                     if run.stopping:
                         left = max(0.0, run.job.spec.save_s - (now - run.stop_at)) + self.report_s
                     else:
--- /dev/null
+++ b/topazhold/core/plan_round.py
@@ -0,0 +1,212 @@
+"""What a round of planning knows of the whole fleet, and what all plans have in common."""
+
+from __future__ import annotations
+
+import math
+
+from topazhold.core import preemption
+from topazhold.core.holds import HeldRooms, Hold, Turn
+from topazhold.core.jobs import GangState, Job, JobState, Run, RunState
+from topazhold.core.ledger import NO_ROOM, LowerWork
+from topazhold.core.machines import Machine, MachineState, fits, plus
+from topazhold.core.offering import Offering
+
+#: A hold whose room is all there within so many report periods binds work that
+#: yields, too; a machine that boots longer than so many boot times is not counted on.
+SOON_REPORTS = 6.0
+LATE_BOOTS = 1.5
+
+
+class PlanRound(Offering):
+    """The common ground of a round of planning.
+
+    What many jobs ask for is added up once per round: what holds keep, which
+    machines have room at all, what a team's lower work takes. Done per job, a
+    round's cost grew with jobs times machines times holds, and a leader of 150
+    machines spent its whole share of a core on it.
+    """
+
+    def _survey(self, jobs: list[Job], now: float) -> None:
+        """What a round of planning needs to know of the whole fleet."""
+        self._lower = {}
+        self._full = set()
+        self._held = HeldRooms(
+            self.hold_table, self._turn_of, lambda hold: self._gathers(hold, now)
+        )
+        self._needs = needs = {job.need for job in jobs}
+        self._least = (
+            min(need[0] for need in needs),
+            min(need[1] for need in needs),
+            min(need[2] for need in needs),
+        )
+        self._roomy = []
+        free = total = 0.0
+        for machine in self.machines.values():
+            if self.usable(machine, now):
+                room = machine.free()
+                if not machine.spot:
+                    free += room[1]
+                    total += machine.total[1]
+                if fits(self._least, room):
+                    self._roomy.append(machine)
+        # Free cards on ordinary machines beyond the headroom kept there. Classes that
+        # are to start within seconds can't wait for others to save and leave; so work
+        # that can wait does not fill the last machines.
+        self._free_plain = free - self.reserve_share * total
+
+    def _gathers(self, hold: Hold, now: float) -> bool:
+        """Whether not even work that yields may come in between.
+
+        A task that would be stopped before its image is there does nobody any good:
+        when hundreds of machines came up together, arrays took those held by gangs
+        of two whose other machine was seconds behind.
+        """
+        job = self.jobs[hold.job]
+        return job.gathers_until > now or self._soon(hold, job, now)
+
+    def _soon(self, hold: Hold, job: Job, now: float) -> bool:
+        """Whether all room of a hold is likely to be there within a few report periods."""
+        known = self._soon_known.get(job.id)
+        if known is not None and known[0] == hold.serial and now - known[1] < self.report_s:
+            return known[2]
+        soon = True
+        for name, count in hold.slots.items():
+            machine = self.machines.get(name)
+            known_type = machine is not None and machine.machine_type is not None
+            offer = self._present_offer(machine, now) if machine and known_type else None
+            if machine is None or offer is None:
+                soon = False
+                break
+            if machine.state is MachineState.STARTING:
+                if now - machine.rented_at > LATE_BOOTS * self._boot_s(machine):
+                    soon = False
+                    break
+            # Natural ends only: whether others can be stopped, `_make_room` finds out.
+            whole = plus(NO_ROOM, job.need, float(count))
+            wait = next((delay for delay, room in offer.rungs if fits(whole, room)), math.inf)
+            if wait >= SOON_REPORTS * self.report_s:
+                soon = False
+                break
+        self._soon_known[job.id] = (hold.serial, now, soon)
+        return soon
+
+    def _claim(self, job: Job) -> None:
+        old = self._claims.get(job.spec.team, (0.0, 0.0))
+        size = job.spec.tasks
+        self._claims[job.spec.team] = (old[0] + job.need[0] * size, old[1] + job.need[1] * size)
+
+    def _claimed(self, job: Job) -> tuple[float, float]:
+        return self._claims.get(job.spec.team, (0.0, 0.0))
+
+    def _lower_runs(self, job: Job) -> list[Run]:
+        """Runs of the same team that a gang may stop to get at its limit."""
+        return [
+            run
+            for other in self.jobs.values()
+            if other.spec.team == job.spec.team
+            and other.level > job.level
+            # Work that ranks before the gang would be placed again at once.
+            and preemption.rank(other) > preemption.rank(job)
+            for run in other.runs.values()
+            if run.present and not (other.gang and other.gang_state is GangState.STARTING)
+        ]
+
+    def _lower_work(self, team_name: str) -> LowerWork:
+        """What each job of a team has on machines; added up once per round."""
+        found = self._lower.get(team_name)
+        if found is not None:
+            return found
+        found = self._lower[team_name] = []
+        for job in self.jobs.values():
+            if job.spec.team != team_name or not job.runs:
+                continue
+            if job.gang and job.gang_state is GangState.STARTING:
+                continue
+            count = sum(run.present for run in job.runs.values())
+            if count:
+                found.append(
+                    (job.level, preemption.rank(job), job.need[0] * count, job.need[1] * count)
+                )
+        return found
+
+    def _limit_reachable(self, job: Job) -> bool:
+        """Whether the gang fits its team's limit, lower work of the team stopped."""
+        if self.usage.allows(job, job.spec.tasks):
+            return True
+        cpus = gpus = 0.0
+        rank = preemption.rank(job)
+        for level, of_rank, of_vcpus, of_cards in self._lower_work(job.spec.team):
+            if level > job.level and of_rank > rank:
+                cpus += of_vcpus
+                gpus += of_cards
+        return self.usage.allows(job, job.spec.tasks, (-cpus, -gpus))
+
+    def _make_limit(self, job: Job, now: float) -> None:
+        """Stop the team's own lower work until the gang fits the limit."""
+        cpus = gpus = 0.0
+        runs = self._lower_runs(job)
+        runs.sort(key=lambda run: (not run.stopping, preemption.loss(run, now)))
+        for run in runs:
+            if self.usage.allows(job, job.spec.tasks, (-cpus, -gpus)):
+                return
+            cpus += run.job.need[0]
+            gpus += run.job.need[1]
+            if not run.stopping and run.state is not RunState.INTENDED:
+                self.stop_for_room(run, f"limit of {job.spec.team} for {job.id}", now)
+
+    def _waiting_jobs(self, now: float) -> list[Job]:
+        jobs = [
+            job
+            for job in self.jobs.values()
+            if job.state is JobState.LIVE
+            and job.waiting_count > 0
+            and job.not_before <= now
+            and not (job.gang and job.gang_state is not GangState.WAITING)
+        ]
+        jobs.sort(key=lambda job: (preemption.turn(job), self._due(job), job.id))
+        return jobs
+
+    def _turn_of(self, hold: Hold) -> Turn | None:
+        """By what is known now: the hold itself names the turn of when it was made."""
+        return preemption.turn(self.jobs[hold.job]) if self._binding(hold) else None
+
+    def _due(self, job: Job) -> float:
+        """When the job should have begun: deadlines by slack, others by arrival."""
+        spec = job.spec
+        if spec.deadline_s is None:
+            return job.arrived
+        return (
+            job.arrived
+            + spec.deadline_s
+            - self.estimates.run_s(spec.job_class, spec.estimated_run_s)
+        )
+
+    def _new_run(self, job: Job, index: int, machine: Machine, attempt: int, now: float) -> Run:
+        run = Run(job, index, attempt, machine.name, now)
+        run.session = machine.session
+        machine.attach(run)
+        self.usage.add(job)
+        return run
+
+    def _attempt(self) -> int:
+        self.next_attempt += 1
+        return self.next_attempt
+
+    def _recordable(self, machine: Machine, count: int) -> bool:
+        """Whether the machine's intents still fit a value with so many more tasks."""
+        return len(machine.runs) + count <= self.most_machine_runs
+
+    def _binding(self, hold: Hold) -> bool:
+        """Whether a hold still keeps room: its gang waits and may start."""
+        job = self.jobs.get(hold.job)
+        return (
+            job is not None
+            and job.state is JobState.LIVE
+            and job.gang_state is GangState.WAITING
+            and not self.spent(job, hold)
+            and self._limit_reachable(job)
+        )
+
+    def spent(self, job: Job, hold: Hold) -> bool:
+        """Whether a hold was used up or refused, so that another is needed."""
+        return hold.serial <= job.used_hold or self.rejected.get(job.id) == hold.serial
--- a/topazhold/core/preemption.py
+++ b/topazhold/core/preemption.py
@@ -51,6 +51,10 @@
     )
 
 
+#: What stopping a replica costs, in seconds of work: it is the last to be chosen.
+SERVICE_LOSS_S = 1e5
+
+
 def loss(run: Run, now: float, level: int = 0) -> float:
     """Seconds of work, over all tasks told to stop with it, that a stop costs.
 
@@ -61,6 +65,8 @@
     elapsed = now - run.running_since if run.running_since is not None else 0.0
     lost = job.spec.save_s if job.spec.checkpoint_s > 0 else elapsed
     more_urgent = max(0, level - job.level)
+    if job.service:
+        return SERVICE_LOSS_S + elapsed
     return (lost + 1.0) * tasks + 10.0 * (3 - job.level) + 60.0 * more_urgent
 
 
--- a/topazhold/core/quota.py
+++ b/topazhold/core/quota.py
@@ -71,7 +71,19 @@
         total = sums.setdefault(job.spec.team, [0.0, 0.0])
         total[0] += job.need[0] * job.spec.tasks
         total[1] += job.need[1] * job.spec.tasks
-        job.within = team is not None and _within(team, total)
+        job.within = team is not None and (_takes_nothing(team, job) or _within(team, total))
+
+
+def _takes_nothing(team: Team, job: Job) -> bool:
+    """Whether the job needs nothing of what its team is guaranteed, so that it borrows nothing.
+
+    Services beside work on GPUs are like that: without this a team's training jobs would
+    put its services outside a guarantee that counts GPUs only.
+    """
+    guaranteed = [
+        need for least, need in zip((team.cpus, team.gpus), job.need, strict=False) if least
+    ]
+    return bool(guaranteed) and not any(guaranteed)
 
 
 def _within(team: Team, total: list[float]) -> bool:
--- a/topazhold/core/records.py
+++ b/topazhold/core/records.py
@@ -20,6 +20,11 @@
 SUMMARY_PREFIX = "sum/"
 RELAY_PREFIX = "relay/"
 
+#: The share of a value's limit that is used.
+VALUE_SHARE = 0.9
+#: Names in the spec of a job that is over are cut to so many characters.
+OVER_NAME_LENGTH = 40
+
 #: Intents of one machine that fit a value, by the size of one packed run.
 RUN_BYTES = 64
 
@@ -55,6 +60,13 @@
     return value
 
 
+def marks_size(spec: JobSpec) -> int:
+    """How much a live value may grow by the done marks of its first part."""
+    if spec.service:
+        return 0
+    return len('"done":"",') + (min(spec.tasks, PART) + 7) // 8 * 4 // 3 + 4
+
+
 def read_live(data: Any, revision: int, now: float, clock: float) -> Job:
     """A job out of its live value; `now` is the time of day, `clock` the steady one."""
     if not isinstance(data, dict):
@@ -69,8 +81,23 @@
 
 
 def over_value(spec: dict[str, Any], stage: str, at: float, token: str) -> dict[str, Any]:
-    """A job that is over; the spec stays for tasks still on machines."""
-    return {"by": token, "spec": spec, "stage": stage, "at": at}
+    """A job that is over; the spec stays for tasks still on machines.
+
+    Of the spec, only what those tasks take of machines and of their team's limit is
+    needed, so the rest is cut: a live value may be larger than the state service takes
+    by the time the job ends.
+    """
+    return {"by": token, "spec": _cut_spec(spec), "stage": stage, "at": at}
+
+
+def _cut_spec(spec: Any) -> Any:
+    if not isinstance(spec, dict):
+        return spec
+    cut = {name: value for name, value in spec.items() if name not in wire.UNUSED_WHEN_OVER}
+    for name in wire.NAMES_UNUSED_WHEN_OVER:
+        if isinstance(cut.get(name), str):
+            cut[name] = cut[name][:OVER_NAME_LENGTH]
+    return cut
 
 
 def read_over(data: Any, now: float, clock: float) -> Job:
--- a/topazhold/core/renting.py
+++ b/topazhold/core/renting.py
@@ -141,7 +141,7 @@
         wish = found.setdefault((machine_type.name, spot), Wish())
         bound = _bound_zone(job, zone_of)
         wish.add(machines, bound)
-        if bound is None and job.gang and not job.runs:
+        if bound is None and (job.service or (job.gang and not job.runs)):
             gangs.append((wish, job, machines, machine_type))
     for wish, job, machines, machine_type in gangs:
         # Room that is there, but in the wrong zones, lets no gang start.
--- /dev/null
+++ b/topazhold/core/service_placing.py
@@ -0,0 +1,215 @@
+"""Where the replicas of services go: soon, apart from each other, and in nobody's way."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Mapping
+
+from topazhold.core import preemption
+from topazhold.core.array_placing import MOST_PLANNED, ArrayPlacing
+from topazhold.core.jobs import Job, JobState, Room, Run
+from topazhold.core.ledger import NO_ROOM
+from topazhold.core.machines import Machine, plus, times_fits
+from topazhold.core.search import allowed
+
+#: What a place costs on top of the time until a replica starts there, in report periods:
+#: where another replica of the job is, where the machine takes less other work from then
+#: on, where it is empty and could be returned, or may be taken back, or fails tasks.
+SAME_MACHINE_REPORTS = 20.0
+SAME_ZONE_REPORTS = 0.5
+HINDERS_REPORTS = 8.0
+EMPTY_REPORTS = 3.0
+SPOT_REPORTS = 10.0
+ERROR_REPORTS = 5.0
+#: A machine on which a replica failed is avoided for so many leases.
+FAILED_LEASES = 4.0
+#: Kinds of other work that are looked at to tell whether a replica is in their way.
+MAX_KINDS = 24
+
+
+class ServicePlace:
+    """A machine with room for replicas of one job."""
+
+    __slots__ = ("cost_s", "count", "machine")
+
+    def __init__(self, machine: Machine, cost_s: float, count: int) -> None:
+        self.machine = machine
+        self.cost_s = cost_s
+        self.count = count
+
+
+class ServicePlacing(ArrayPlacing):
+    """Plans of services' replicas, first ones and replacements alike."""
+
+    def _survey(self, jobs: list[Job], now: float) -> None:
+        super()._survey(jobs, now)
+        self._work_kinds = None
+        self._hindrances = {}
+
+    def _plan_service(self, job: Job, planned: list[Run], now: float) -> None:
+        if not self.usage.allows(job, 1, self._claimed(job)):
+            return  # its team's limit, whatever room there is
+        taken = self._held.taken(job.id, preemption.turn(job))
+        places = self._service_places(job, taken, now)
+        zones = job.zones_used(self.zone_of)
+        if job.spec.same_place:
+            pairs = [(place.machine, place.count) for place in places]
+            only = self._array_zone(zones, pairs)
+            places = [place for place in places if place.machine.zone == only]
+        self._place_replicas(job, places, zones, planned, now)
+        if job.waiting_count > 0 and len(planned) < MOST_PLANNED:
+            self._make_service_room(job, taken, zones, now)
+
+    def _place_replicas(
+        self,
+        job: Job,
+        places: list[ServicePlace],
+        zones: dict[str, int],
+        planned: list[Run],
+        now: float,
+    ) -> None:
+        """The cheapest places first; each replica makes its machine and zone dearer."""
+        on_machine: dict[str, int] = {}
+        for run in job.runs.values():
+            on_machine[run.machine] = on_machine.get(run.machine, 0) + 1
+        tasks = job.waiting_tasks()
+        heap = [(place.cost_s, place.machine.name, place) for place in places]
+        heapq.heapify(heap)
+        while heap and len(planned) < MOST_PLANNED:
+            known_cost_s, name, place = heapq.heappop(heap)
+            machine = place.machine
+            in_zone = zones.get(machine.zone, 0)
+            if self._zone_full(job, in_zone):
+                continue
+            reports = SAME_MACHINE_REPORTS * on_machine.get(name, 0) + SAME_ZONE_REPORTS * in_zone
+            cost_s = place.cost_s + reports * self.report_s
+            if cost_s > known_cost_s:
+                heapq.heappush(heap, (cost_s, name, place))
+                continue
+            if not self._recordable(machine, 1):
+                continue
+            if not self.usage.allows(job, 1, self._claimed(job)):
+                return
+            index = next(tasks, None)
+            if index is None:
+                return
+            run = self._new_run(job, index, machine, self._attempt(), now)
+            job.add_run(run)
+            planned.append(run)
+            zones[machine.zone] = in_zone + 1
+            on_machine[name] = on_machine.get(name, 0) + 1
+            place.count -= 1
+            if place.count > 0:
+                heapq.heappush(heap, (cost_s, name, place))
+
+    @staticmethod
+    def _zone_full(job: Job, in_zone: int) -> bool:
+        return job.spec.scatter and in_zone >= (job.spec.tasks + 1) // 2
+
+    def _service_places(
+        self, job: Job, taken: Mapping[str, Room], now: float
+    ) -> list[ServicePlace]:
+        """Machines that have room now."""
+        spec = job.spec
+        places = []
+        for machine in self._roomy:
+            if machine.machine_type is None:
+                continue
+            if not allowed(spec, machine.machine_type.name, machine.zone, machine.spot):
+                continue
+            room = plus(machine.free(), taken.get(machine.name, NO_ROOM), -1.0)
+            count = times_fits(job.need, room, spec.tasks)
+            if count:
+                places.append(ServicePlace(machine, self._place_cost_s(job, machine, now), count))
+        return places
+
+    def _place_cost_s(self, job: Job, machine: Machine, now: float) -> float:
+        """Time until a replica would start on a machine, and what else speaks against it."""
+        reports = HINDERS_REPORTS * self._hindrance(machine, job.need)
+        if machine.empty:
+            reports += EMPTY_REPORTS
+        if machine.spot:
+            reports += SPOT_REPORTS
+        reports += ERROR_REPORTS * len(machine.error_jobs)
+        failed_at = job.failed_on.get(machine.name)
+        if failed_at is not None and now - failed_at < FAILED_LEASES * self.lease_s:
+            reports += SAME_MACHINE_REPORTS
+        delay_s = self._launch_delay_s(machine, now)
+        delay_s += machine.fetch_s(job.spec.image, job.spec.image_gb)
+        return delay_s + reports * self.report_s
+
+    def _launch_delay_s(self, machine: Machine, now: float) -> float:
+        """How long until the worker is likely to report, and so can take a launch."""
+        if machine.wake_tasks:
+            return 0.0
+        heard_at = machine.heard_at if machine.heard_at is not None else now
+        return max(0.0, heard_at + self.report_s - now)
+
+    def _hindrance(self, machine: Machine, need: Room) -> float:
+        """Of the kinds of other work, the share of which the machine would take fewer tasks."""
+        assert machine.machine_type is not None
+        services = NO_ROOM
+        for run in machine.runs.values():
+            if run.job.service:
+                services = plus(services, run.job.need)
+        key = (machine.machine_type.name, round(services[0], 3), round(services[2], 3), need)
+        found = self._hindrances.get(key)
+        if found is None:
+            before = plus(machine.total, services, -1.0)
+            found = self._hindrances[key] = self._lost_share(before, plus(before, need, -1.0))
+        return found
+
+    def _lost_share(self, before: Room, after: Room) -> float:
+        kinds = self._other_work()
+        lost = [
+            kind
+            for kind in kinds
+            if times_fits(kind, after, MOST_PLANNED) < times_fits(kind, before, MOST_PLANNED)
+        ]
+        return len(lost) / len(kinds) if kinds else 0.0
+
+    def _other_work(self) -> list[Room]:
+        """The sizes of tasks of other unfinished jobs, the largest first."""
+        if self._work_kinds is None:
+            sizes = {
+                job.need
+                for job in self.jobs.values()
+                if job.state is JobState.LIVE and not job.service
+            }
+            largest_first = sorted(
+                sizes, key=lambda need: (need[1], need[0], need[2]), reverse=True
+            )
+            self._work_kinds = largest_first[:MAX_KINDS]
+        return self._work_kinds
+
+    def _make_service_room(
+        self, job: Job, taken: Mapping[str, Room], zones: Mapping[str, int], now: float
+    ) -> None:
+        """Stop what costs least for replicas that have no place, as the rules allow."""
+        asked_at = self._starved_since.get(job.id)
+        if asked_at is not None and now - asked_at < self.report_s:
+            return
+        self._starved_since[job.id] = now
+        coming = 0
+        choices: list[tuple[float, str, list[Run]]] = []
+        for machine in self.machines.values():
+            if not self.usable(machine, now) or machine.machine_type is None:
+                continue
+            if not allowed(job.spec, machine.machine_type.name, machine.zone, machine.spot):
+                continue
+            if self._zone_full(job, zones.get(machine.zone, 0)):
+                continue
+            held = taken.get(machine.name, NO_ROOM)
+            found = preemption.victims(machine, job.need, job, self.usage, held, now)
+            if found is None:
+                continue
+            if not found:
+                coming += 1  # something is leaving already
+                continue
+            cost = sum(preemption.loss(run, now, job.level) for run in found)
+            choices.append((cost, machine.name, found))
+        choices.sort(key=lambda choice: choice[:2])
+        for _, _, runs in choices[: max(0, job.waiting_count - coming)]:
+            for run in runs:
+                if not run.stopping:
+                    self.stop_for_room(run, f"room for {job.id}", now)
--- a/topazhold/core/stopping.py
+++ b/topazhold/core/stopping.py
@@ -8,8 +8,9 @@
 from topazhold.core import gangs
 from topazhold.core.jobs import UNSENT, GangState, Job, JobState, Run, RunState
 from topazhold.core.ledger import UP
-from topazhold.core.machines import Machine, MachineState
+from topazhold.core.machines import Machine, MachineState, fits
 from topazhold.core.ordering import Ordering
+from topazhold.core.search import allowed
 
 log = logging.getLogger(__name__)
 
@@ -26,6 +27,10 @@
 QUIET_LEASES = 0.6
 SILENT_LEASES = 1.25
 GROUP_LEASES = 2.0
+#: One with replicas of services is released once its worker's lease must have ended.
+SERVICE_LEASES = 1.05
+#: Replicas leave a machine that will be taken at the latest so many report periods before.
+LAST_MOVE_REPORTS = 2.0
 
 
 class Stopping(Ordering):
@@ -206,8 +211,13 @@
         silent = self.silent_s(machine, now)
         if silent > self.lease_s and machine.unlisted >= 2:
             self.release(machine, "silent and not listed", now)
-        elif silent > SILENT_LEASES * self.lease_s:
-            if silent > self._patience_leases(machine, now) * self.lease_s:
+        elif silent > SERVICE_LEASES * self.lease_s:
+            patience = self._patience_leases(machine, now)
+            if any(run.job.service for run in machine.runs.values()):
+                # Its tasks ended with the worker's lease. Other work waits for the machine
+                # to come back; a service is down until its replicas are proven gone.
+                patience = patience if math.isinf(patience) else SERVICE_LEASES
+            if silent > patience * self.lease_s:
                 self.release(machine, "silent", now)
 
     def _patience_leases(self, machine: Machine, now: float) -> float:
@@ -245,18 +255,54 @@
         if machine.why == "sick":
             if machine.empty:
                 self.release(machine, "sick", now)
+            elif all(run.job.service for run in machine.runs.values()):
+                # Replicas never end: without a move it would be kept, and paid, for good.
+                self._move_replicas(machine, "machine is sick", now)
             return
         if machine.gone_at is None:
             return
         left = machine.gone_at - now
+        must = left < LAST_MOVE_REPORTS * self.report_s
+        self._move_replicas(machine, "machine will be taken", now, must)
         for run in list(machine.runs.values()):
-            if run.stopping or run.state is RunState.INTENDED:
+            if run.stopping or run.job.service or run.state is RunState.INTENDED:
                 continue
             if run.state is not RunState.RUNNING or self._would_lose(run, left, now):
                 self.stop_for_room(run, "machine will be taken", now)
         if machine.empty and left < 0:
             self.release(machine, "taken", now)
 
+    def _move_replicas(self, machine: Machine, why: str, now: float, must: bool = False) -> None:
+        """Stop replicas on a machine that is leaving, where they have another place.
+
+        `must`: also without one. That they are gone is known by then; of a machine that was
+        taken with them it would be known only after a lease.
+        """
+        for run in list(machine.runs.values()):
+            if not run.job.service or run.stopping or run.state is RunState.INTENDED:
+                continue
+            if must or self._has_other_place(run, now):
+                self.stop_for_room(run, why, now)
+
+    def _has_other_place(self, run: Run, now: float) -> bool:
+        """Whether some other machine has room for a replica."""
+        job = run.job
+        zones = job.zones_used(self.zone_of)
+        here = self.zone_of.get(run.machine)
+        for machine in self.machines.values():
+            if machine.name == run.machine or machine.machine_type is None:
+                continue
+            if not self.usable(machine, now) or not fits(job.need, machine.free()):
+                continue
+            if not allowed(job.spec, machine.machine_type.name, machine.zone, machine.spot):
+                continue
+            if machine.zone == here:
+                return True
+            full = zones.get(machine.zone, 0) >= (job.spec.tasks + 1) // 2
+            if not job.spec.same_place and not (job.spec.scatter and full):
+                return True
+        return False
+
     def _would_lose(self, run: Run, left: float, now: float) -> bool:
         """Whether a task on a machine with so much time left had better save now."""
         return run.job.spec.checkpoint_s > 0 and self.remaining_s(run, now) > left - self.report_s
--- a/topazhold/settings.py
+++ b/topazhold/settings.py
@@ -45,11 +45,51 @@
     cancel_s: float
 
 
+class LaterLimits(msgspec.Struct):
+    """Limits that the state service will have from some moment on, without notice.
+
+    A limit that is not named stays as it is.
+    """
+
+    rps: float | None = None
+    write_rps: float | None = None
+    value_kb: float | None = None
+    txn_ops: int | None = None
+
+
 class State(msgspec.Struct):
+    """Limits of the state service, and those that it may have at any later moment."""
+
     rps: float
     write_rps: float
     value_kb: float
     txn_ops: int
+    next: LaterLimits | None = None
+
+    def _smaller(self, name: str) -> float:
+        now: float = getattr(self, name)
+        later: float | None = getattr(self.next, name) if self.next is not None else None
+        return now if later is None else min(now, later)
+
+    @property
+    def lasting_rps(self) -> float:
+        """Requests a second that are allowed now and later."""
+        return self._smaller("rps")
+
+    @property
+    def lasting_write_rps(self) -> float:
+        """Changes a second that are allowed now and later."""
+        return self._smaller("write_rps")
+
+    @property
+    def lasting_value_bytes(self) -> int:
+        """The size of a value that is allowed now and later."""
+        return int(self._smaller("value_kb") * 1024)
+
+    @property
+    def lasting_txn_ops(self) -> int:
+        """The changes of a transaction that are allowed now and later."""
+        return int(self._smaller("txn_ops"))
 
 
 class Cloud(msgspec.Struct):
@@ -167,16 +207,27 @@
             if most and least > most:
                 return f"cluster.teams.{team.name}.{kind}: guarantee above {kind}_max"
     for section in ("workers", "state", "cloud", "limits"):
-        part = getattr(cluster, section)
-        for name in part.__struct_fields__:
-            value = getattr(part, name)
-            if not math.isfinite(value) or value <= 0:
-                return f"cluster.{section}.{name}: must be above 0"
+        fault = _amounts_fault(f"cluster.{section}", getattr(cluster, section))
+        if fault:
+            return fault
+    if cluster.state.next is not None:
+        fault = _amounts_fault("cluster.state.next", cluster.state.next)
+        if fault:
+            return fault
     if cluster.workers.report_s * 2 > cluster.workers.lease_s:
         return "cluster.workers.lease_s: shorter than two report_s"
     return None
 
 
+def _amounts_fault(section: str, part: msgspec.Struct) -> str | None:
+    """The first field of a section that is not an amount above 0; those left out are none."""
+    for name in part.__struct_fields__:
+        value = getattr(part, name)
+        if isinstance(value, int | float) and (not math.isfinite(value) or value <= 0):
+            return f"{section}.{name}: must be above 0"
+    return None
+
+
 def load_operator(path: Path | None) -> Operator:
     """Read the operators' file; a missing default file means the defaults."""
     if path is None:
--- a/topazhold/wire/messages.py
+++ b/topazhold/wire/messages.py
@@ -31,7 +31,7 @@
 
 GANG = "gang"
 BATCH = "batch"
-DAEMON = "daemon"  # tasks that run until their user cancels them; placed like an array's
+DAEMON = "daemon"  # a service: replicas that run until the user cancels the job
 URGENCIES = ("critical", "urgent", "normal", "best_effort")
 MOST_TASKS = 100_000
 LONGEST_NAME = 200
@@ -88,6 +88,16 @@
         """Whether all tasks run at the same time or none does."""
         return self.shape == GANG
 
+    @property
+    def service(self) -> bool:
+        """Whether the tasks are replicas that run until the job is cancelled."""
+        return self.shape == DAEMON
+
+    @property
+    def needs_all(self) -> bool:
+        """Whether the team's limit must take all tasks at the same time."""
+        return self.gang or self.service
+
     def fault(self) -> str | None:
         """The first field that is out of its range, or None."""
         for name in ("id", "job_class", "team", "image"):
@@ -109,6 +119,11 @@
         return None
 
 
+#: Fields of a job, as they are stored, that nobody needs once it is over: left out, or
+#: cut short where every job must have one.
+UNUSED_WHEN_OVER = ("breeds", "apiary", "bloom_s")
+NAMES_UNUSED_WHEN_OVER = ("lane", "comb")
+
 #: Fields of a job that can't be negative.
 _AMOUNTS = (
     "cpus",
