Tests of both versions side by side; stored summaries and fleets without fixed limits

Stored summaries are cut to what a value takes also where names or counts alone are too long, and written in as many transactions as the limits ask for.

--- /dev/null
+++ b/tests/corpus.py
@@ -0,0 +1,103 @@
+"""Values and messages as the production version writes them, kept as data.
+
+`python -m tests.corpus` plays two days of the production version alone and writes a few of each
+kind of value and message to `tests/data/production_corpus.json`. It is run again when
+`production` in the deploy file moves on.
+"""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Any
+
+import curio
+import pytest
+
+from tests.standins import VirtualTime, run_virtual
+from tests.world import World
+from topazhold.settings import LaterLimits
+
+FILE = Path(__file__).resolve().parent / "data" / "production_corpus.json"
+#: Samples of each kind: the longest ones, which show the most.
+SAMPLES = 4
+LOOK_S = 0.5
+
+Corpus = dict[str, dict[str, list[Any]]]
+
+
+class Collector:
+    """The longest values and messages of each kind."""
+
+    def __init__(self) -> None:
+        self._kinds: dict[tuple[str, str], dict[str, Any]] = {}
+
+    def add(self, group: str, kind: str, sample: Any) -> None:
+        """Keep a sample if it is among the longest of its kind."""
+        kept = self._kinds.setdefault((group, kind), {})
+        kept[json.dumps(sample, sort_keys=True)] = sample
+        if len(kept) > SAMPLES:
+            del kept[min(kept, key=lambda text: (len(text), text))]
+
+    def corpus(self) -> Corpus:
+        """All that was kept, by group and kind."""
+        found: Corpus = {}
+        for (group, kind), kept in sorted(self._kinds.items()):
+            found.setdefault(group, {})[kind] = [kept[text] for text in sorted(kept)]
+        return found
+
+
+def kind_of(key: str) -> str:
+    """The kind of a stored key: its first part, and whether it is a summary of all."""
+    first = key.partition("/")[0]
+    return "sum/*" if key == "sum/*" else first
+
+
+async def collect(world: World, collector: Collector) -> None:
+    """Look at all that is stored and sent, again and again."""
+    while True:
+        await curio.sleep(LOOK_S)
+        for key, (data, _, _) in world.state.data.items():
+            collector.add("stored", kind_of(key), [key, data])
+        for tag, messages in world.peer_messages.items():
+            for message in messages:
+                collector.add("messages", tag, list(message))
+            messages.clear()
+
+
+def collect_day(
+    seed: int,
+    kinds: list[str],
+    monkeypatch: pytest.MonkeyPatch,
+    collector: Collector,
+    production: bool,
+) -> None:
+    """Play a day of one version alone; collect what it stores and sends."""
+
+    async def main(clock: VirtualTime) -> None:
+        world = World(clock, seed)
+        if production:
+            world.run_production(LaterLimits())
+        looking = await curio.spawn(collect, world, collector, daemon=True)
+        await world.play(30, 60.0, 60.0, kinds)
+        await looking.cancel()
+
+    run_virtual(main, monkeypatch)
+
+
+#: Days on which every kind of value is written: relayed reports need a leader that is cut off.
+DAYS = [(71, ["crash_leader", "cancel_at_end"]), (72, ["zones_cut", "leader_off_zone"])]
+
+
+def main() -> None:
+    """Write the corpus anew."""
+    collector = Collector()
+    for seed, kinds in DAYS:
+        with pytest.MonkeyPatch.context() as patch:
+            collect_day(seed, kinds, patch, collector, production=True)
+    FILE.parent.mkdir(exist_ok=True)
+    FILE.write_text(json.dumps(collector.corpus(), indent=1, sort_keys=True) + "\n")
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -19,14 +19,17 @@
 from curio.kernel import Kernel
 from curio.task import Task as Task_
 
-from topazhold.control.node import Node
-from topazhold.io.http import NoAnswer, NotSent, Request
-from topazhold.settings import Operator, Settings
-from topazhold.wire.codec import pack, unpack
+from tests.versions import CURRENT, Version
+from topazhold.io.http import NoAnswer, NotSent
+from topazhold.settings import LaterLimits, Settings
+from topazhold.wire.codec import json_size, pack, unpack
 from topazhold.wire.messages import JobSpec
 
 log = logging.getLogger(__name__)
 
+#: Messages between controllers that a world keeps of each kind.
+KEPT_MESSAGES = 200
+
 
 #: The protocol's names of a job's fields.
 _BODY_NAMES = {field.name: field.encode_name for field in msgspec.structs.fields(JobSpec)}
@@ -209,7 +212,9 @@
         address: tuple[str, int],
         alive: Callable[[], bool],
         thawed: Callable[[str], Awaitable[None]],
+        version: Version,
     ) -> None:
+        self._errors = version.module("io.http")
         self._thawed = thawed
         self._net = net
         self._source = source
@@ -228,6 +233,10 @@
             return await self._net.ask(
                 self._source, self._target, method, target, message, timeout_s
             )
+        except NotSent as exc:
+            raise self._errors.NotSent(str(exc)) from None
+        except NoAnswer as exc:
+            raise self._errors.NoAnswer(str(exc)) from None
         finally:
             await self._thawed(self._source)
 
@@ -253,6 +262,12 @@
         self.down = False
         self.refused: set[str] = set()  # nodes that get 503
         self.slow_s = 0.0  # an answer takes up to so long
+        self.value_bytes = 8 * 1024
+        self.txn_ops = 8
+        self.write_rps: float | None = None
+        self.refused_sizes: list[str] = []  # what was too large, by the key
+        self.refused_rates = 0
+        self._tokens = (0.0, 0.0)  # changes that may come now, and as of when
         self._changed = curio.Event()
 
     async def handle(self, source: str, method: str, path: str, body: Any) -> tuple[int, Any]:
@@ -288,6 +303,37 @@
             self.grants[lease_id] = (ttl, self.clock.now + ttl)
         return 200, {}
 
+    def lower(self, limits: LaterLimits) -> None:
+        """From now on, without notice, smaller values and transactions, and fewer changes."""
+        if limits.value_kb is not None:
+            self.value_bytes = int(limits.value_kb * 1024)
+        if limits.txn_ops is not None:
+            self.txn_ops = limits.txn_ops
+        self.write_rps = limits.write_rps
+        self._tokens = (limits.write_rps or 0.0, self.clock.now)
+
+    def _too_large(self, changes: list[dict[str, Any]]) -> bool:
+        large = [
+            change["put"]
+            for change in changes
+            if "put" in change and json_size(change["data"]) > self.value_bytes
+        ]
+        if len(changes) > self.txn_ops:
+            large.append(f"{len(changes)} changes")
+        self.refused_sizes += large
+        return bool(large)
+
+    def _too_many(self, changes: int) -> bool:
+        """Whether so many changes more are above the rate; bursts are worth a second."""
+        if self.write_rps is None:
+            return False
+        level, at = self._tokens
+        level = min(self.write_rps, level + (self.clock.now - at) * self.write_rps)
+        over = changes > level
+        self._tokens = (level - (0 if over else changes), self.clock.now)
+        self.refused_rates += over
+        return over
+
     def set_down(self, down: bool) -> None:
         if self.down and not down:
             for lease_id, (ttl, _) in list(self.grants.items()):
@@ -328,6 +374,10 @@
         return 200, {"entries": page, "truncated": len(keys) > most, "harvest": self.revision}
 
     async def _multi(self, body: Any) -> tuple[int, Any]:
+        if self._too_large(body["then"]):
+            return 400, {"error": "too large"}
+        if self._too_many(len(body["then"])):
+            return 429, {}
         failed = [
             condition["key"]
             for condition in body["guards"]
@@ -757,10 +807,10 @@
         self._source = source
         self._target = target
 
-    async def send(self, task_name: bytes) -> None:
-        await curio.spawn(self._deliver, task_name, daemon=True)
+    async def send(self, frame: bytes) -> None:
+        await curio.spawn(self._deliver, frame, daemon=True)
 
-    async def _deliver(self, task_name: bytes) -> None:
+    async def _deliver(self, frame: bytes) -> None:
         net = self._world.net
         await curio.sleep(net.rng.uniform(0.001, 0.01))
         await self._world.thawed(self._source)
@@ -769,7 +819,14 @@
         cut = self._world.peers_refuse or net.cut(self._source, self._target)
         if node is None or cut or net.rng.random() < net.loss:
             return
-        await node.peer_message(tuple(unpack(task_name[4:])))
+        message = tuple(unpack(frame[4:]))
+        self._world.peer_messages.setdefault(message[0], []).append(message)
+        del self._world.peer_messages[message[0]][:-KEPT_MESSAGES]
+        try:
+            await node.peer_message(message)
+        except (ValueError, TypeError, IndexError, KeyError) as exc:
+            # The real listener drops it; between versions that must not happen.
+            self._world.violate("peer_message", f"{message[0]} at {self._target}: {exc!r}")
 
 
 def settings_for(name: str, zone: str, others: list[tuple[str, str]]) -> Settings:
@@ -804,27 +861,36 @@
     )
 
 
-async def start_node(world: Any, name: str) -> None:
-    """Start a controller process, as the platform does after an end."""
-    settings = world.node_settings[name]
-    alive = {"yes": True}
+def create_node(world: Any, name: str, alive: dict[str, bool]) -> Any:
+    """A controller of the version that is installed there; it does nothing yet."""
+    version = world.versions.get(name, CURRENT)
+    settings = version.settings(world.node_settings[name])
 
     def dial(address: tuple[str, int], keep: int) -> Any:
-        return NetClient(world.net, name, address, lambda: alive["yes"], world.thawed)
+        return NetClient(world.net, name, address, lambda: alive["yes"], world.thawed, version)
 
-    node = Node(settings, Operator(), dial)
+    operator = version.module("settings").Operator()
+    node = version.module("control.node").Node(settings, operator, dial)
     node.rng.seed(world.rng.random())
     node.links.update(
         {  # type: ignore[dict-item]
             other: PeerLink(world, name, other) for other in world.names if other != name
         }
     )
-    host = settings.bind
+    return node
+
+
+async def start_node(world: Any, name: str) -> None:
+    """Start a controller process, as the platform does after an end."""
+    alive = {"yes": True}
+    node = create_node(world, name, alive)
+    request_kind = world.versions.get(name, CURRENT).module("io.http").Request
+    host = world.node_settings[name].bind
 
     async def handle(source: str, method: str, path: str, body: Any) -> tuple[int, Any]:
         data = pack(body) if body is not None else b""
         await world.thawed(name)
-        answer = await node.handle(Request(method, path, data))
+        answer = await node.handle(request_kind(method, path, data))
         await world.thawed(name)
         return answer.status, answer.body
 
--- a/tests/test_broken_variants.py
+++ b/tests/test_broken_variants.py
@@ -10,7 +10,7 @@
 from tests.test_random_days import play
 from tests.world import LARGEST
 from topazhold.control import users as users_module
-from topazhold.core import placing, quota, records, recovery
+from topazhold.core import array_placing, placing, quota, records, recovery
 from topazhold.core.jobs import Job
 from topazhold.core.scheduler import Scheduler
 from topazhold.io.http import Answer
@@ -42,6 +42,7 @@
 
 def any_place(patch: pytest.MonkeyPatch) -> None:
     patch.setattr(placing, "allowed", lambda *args: True)
+    patch.setattr(array_placing, "allowed", lambda *args: True)
     patch.setattr(Scheduler, "_hold_fault", lambda *args: None)
     patch.setattr(Scheduler, "_array_zone", lambda *args: None)
 
--- /dev/null
+++ b/tests/test_compat.py
@@ -0,0 +1,285 @@
+"""Production and current version read what the other stores and sends, to the same meaning."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from typing import Any
+
+import curio
+import msgspec
+import pytest
+
+from tests.conftest import make_spec
+from tests.corpus import DAYS, FILE, Collector, Corpus, collect_day
+from tests.standins import VirtualTime, create_node, run_virtual
+from tests.test_random_days import play
+from tests.test_service_days import LATER
+from tests.versions import CURRENT, Version, production
+from tests.world import NAMES, World
+from topazhold.control.node import Node
+from topazhold.core import holds, leadership, records
+from topazhold.core.jobs import PART, Job
+from topazhold.wire import messages as wire
+
+WALL, CLOCK = 1.7e9 + 2000.0, 500.0
+#: Every kind of value and message that the two versions share.
+STORED = {"crown", "hold", "live", "on", "over", "queen", "relay", "sum", "sum/*"}
+MESSAGES = {"cancelled", "ping", "placed", "receipt", "relay", "summary"}
+
+
+def job_meaning(job: Any) -> Any:
+    """What a version has understood of a job."""
+    return (
+        msgspec.to_builtins(job.spec),
+        bytes(job.done),
+        job.done_count,
+        job.arrived,
+        job.submitted,
+        job.node,
+        job.state.value,
+        job.cancelled_at,
+    )
+
+
+def read_reports(version: Version, reports: Any) -> Any:
+    convert = version.module("wire.codec").convert
+    kind = version.module("wire.messages").Report
+    return [msgspec.to_builtins(convert(item, kind)) for item in reports]
+
+
+def view_meaning(view: Any) -> Any:
+    caches = {zone: [offer.pack() for offer in cache] for zone, cache in view.caches.items()}
+    return caches, view.directory, view.waiting, view.running, view.all_waiting, view.term
+
+
+def stored_meaning(version: Version, key: str, data: Any) -> Any:
+    """What a version reads out of a stored value."""
+    of_version = version.module("core.records")
+    first = key.partition("/")[0]
+    if first == "live":
+        return job_meaning(of_version.read_live(data, 5, WALL, CLOCK)), of_version.done_count(data)
+    if first == "over":
+        job = of_version.read_over(data, WALL, CLOCK)
+        return job_meaning(job), of_version.over_stage(data), of_version.over_at(data, 0.0)
+    if first == "on":
+        found, odd = of_version.read_on(data)
+        return [tuple(each) for each in found], odd
+    if first == "hold":
+        return [hold.pack() for hold in version.module("core.holds").unpack_value(data)]
+    if first in ("queen", "crown"):
+        return version.module("core.leadership").read_value(data)
+    if first == "relay":
+        return data["crown"], read_reports(version, data["reports"])
+    assert first == "sum"
+    view = version.module("control.booking").View()
+    if key == "sum/*":
+        view.read_jobs(data)
+    else:
+        view.read_zone(key.partition("/")[2], data)
+    return view_meaning(view)
+
+
+def heard(version: Version, messages: list[Any], monkeypatch: pytest.MonkeyPatch) -> Any:
+    """What a controller of a version knows once it has got these messages."""
+    known: list[Any] = []
+
+    async def main(clock: VirtualTime) -> None:
+        world = World(clock, 1)
+        world.versions = {NAMES[0]: version}
+        node = create_node(world, NAMES[0], {"yes": True})
+        for message in messages:
+            await node.peer_message(tuple(message))
+            lead = node.leadership
+            cancelled = node.cancellations
+            known.append(
+                (
+                    lead.leader,
+                    lead.term,
+                    sorted(node.fallback._silent),
+                    sorted(cancelled._entries.items()),
+                    cancelled.receipts(),
+                    cancelled._acked,
+                    {
+                        name: (place.endpoint, sorted(place.jobs))
+                        for name, place in node.placements.places.items()
+                    },
+                    view_meaning(node.view),
+                )
+            )
+
+    run_virtual(main, monkeypatch)
+    return known
+
+
+def load_corpus() -> Corpus:
+    corpus: Corpus = json.loads(FILE.read_text())
+    return corpus
+
+
+def current_corpus(monkeypatch: pytest.MonkeyPatch) -> Corpus:
+    collector = Collector()
+    for seed, kinds in DAYS:
+        with monkeypatch.context() as patch:
+            collect_day(seed, kinds, patch, collector, production=False)
+    return collector.corpus()
+
+
+def assert_read_alike(corpus: Corpus, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Both versions understand every value and every message in the same way."""
+    for samples in corpus["stored"].values():
+        for key, data in samples:
+            meant = stored_meaning(production(), key, data)
+            assert stored_meaning(CURRENT, key, data) == meant, key
+    intents = [stored_meaning(production(), *sample) for sample in corpus["stored"]["on"]]
+    assert any(found for found, _ in intents) and not any(odd for _, odd in intents)
+    assert any(stored_meaning(production(), *sample) for sample in corpus["stored"]["hold"])
+    for tag, messages in corpus["messages"].items():
+        with monkeypatch.context() as patch:
+            meant = heard(production(), messages, patch)
+        with monkeypatch.context() as patch:
+            assert heard(CURRENT, messages, patch) == meant, tag
+
+
+def test_corpus_has_every_kind() -> None:
+    corpus = load_corpus()
+    assert corpus["stored"].keys() == STORED
+    assert corpus["messages"].keys() == MESSAGES
+
+
+def test_current_version_reads_what_production_has_written(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    assert_read_alike(load_corpus(), monkeypatch)
+
+
+def test_production_version_reads_what_the_current_one_writes(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """An old controller may become leader after a new one, until its turn comes."""
+    corpus = current_corpus(monkeypatch)
+    assert corpus["stored"].keys() == STORED
+    assert corpus["messages"].keys() == MESSAGES
+    assert_read_alike(corpus, monkeypatch)
+
+
+@pytest.mark.parametrize("tasks", [1, 9, PART, PART + 10])
+def test_done_marks_are_read_alike(tasks: int) -> None:
+    """Every third task is done; the marks of the first part stand in the live value."""
+    spec = make_spec(shape="batch", tasks=tasks)
+    old_jobs = production().module("core.jobs")
+    old_spec = production().module("wire.messages").JobSpec
+    as_old = msgspec.convert(msgspec.to_builtins(spec), old_spec)
+    jobs = [Job(spec, 0.0, 0.0, ""), old_jobs.Job(as_old, 0.0, 0.0, "")]
+    for job in jobs:
+        for index in range(0, tasks, 3):
+            job.mark_done(index)
+    fresh = [old_jobs.Job(as_old, 0.0, 0.0, ""), Job(spec, 0.0, 0.0, "")]
+    for writer, reader in zip(jobs, fresh, strict=True):
+        for part in range((tasks + PART - 1) // PART):
+            reader.load_part(part, writer.part_text(part))
+        assert reader.done == writer.done
+
+
+def test_end_of_a_job_is_read_alike() -> None:
+    """The spec of a job that is over is cut; production still finds in it what it needs."""
+    spec = make_spec(machine_types=["b1"] * 50, image="i" * 200, job_class="c" * 200)
+    live = records.live_value(Job(spec, 0.0, 0.0, "hive-0"), "t")
+    value = records.over_value(live["spec"], wire.ABORTED, WALL - 3.0, "t")
+    job = production().module("core.records").read_over(value, WALL, CLOCK)
+    assert (job.id, job.spec.team, job.need) == (spec.id, spec.team, (4.0, 2.0, 8.0))
+    assert job.cancelled_at == pytest.approx(CLOCK - 3.0)
+
+
+# -- variants that are not compatible must be seen ---------------------------------
+
+
+def rename_key(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(records, "LIVE_PREFIX", "job/")
+    patch.setattr(records, "live_key", lambda job: f"job/{job}")
+
+
+def rename_leader_key(patch: pytest.MonkeyPatch) -> None:
+    """Two leaders: each version elects its own."""
+    from topazhold.control import node, term_context
+
+    for module in (leadership, node, term_context):
+        patch.setattr(module, "LEADER_KEY", "leader/now")
+
+
+def rename_field(patch: pytest.MonkeyPatch) -> None:
+    value = records.on_value
+
+    def renamed(*args: Any) -> Any:
+        found = value(*args)
+        return {"by": found["by"], "machines": found["boxes"], "boxes": {}}
+
+    patch.setattr(records, "on_value", renamed)
+
+
+def longer_hold(patch: pytest.MonkeyPatch) -> None:
+    pack = holds.Hold.pack
+    patch.setattr(holds.Hold, "pack", lambda self: [*pack(self), "more"])
+
+
+def longer_ping(patch: pytest.MonkeyPatch) -> None:
+    tell = Node._tell
+
+    async def told(self: Any, message: tuple[Any, ...]) -> None:
+        await tell(self, (*message, 1) if message[0] == "ping" else message)
+
+    patch.setattr(Node, "_tell", told)
+
+
+def unreadable_intents(patch: pytest.MonkeyPatch) -> None:
+    """One more element for each machine."""
+    value = records.on_value
+
+    def longer(*args: Any) -> Any:
+        found = value(*args)
+        return {**found, "boxes": {name: [*item, 0] for name, item in found["boxes"].items()}}
+
+    patch.setattr(records, "on_value", longer)
+
+
+CORPUS_VARIANTS = [rename_key, rename_leader_key, rename_field, longer_hold, longer_ping]
+
+
+@pytest.mark.parametrize("change", [*CORPUS_VARIANTS, unreadable_intents])
+def test_incompatible_writers_are_seen(
+    change: Callable[[pytest.MonkeyPatch], None], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """What the variant writes is not what production reads."""
+    change(monkeypatch)
+    corpus = current_corpus(monkeypatch)
+    with pytest.raises((AssertionError, ValueError, TypeError, KeyError)):
+        assert corpus["stored"].keys() == STORED
+        assert_read_alike(corpus, monkeypatch)
+
+
+@pytest.mark.parametrize("change", [rename_key, rename_leader_key, longer_ping])
+def test_days_of_both_versions_see_an_incompatible_one(
+    change: Callable[[pytest.MonkeyPatch], None], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    change(monkeypatch)
+    for seed in (51, 52, 55):
+        with monkeypatch.context() as of_day:
+            world = play(
+                seed, ["crash_leader"], of_day, jobs=25, trouble_s=60.0, calm_s=60.0, later=LATER
+            )
+        if world.broken:
+            return
+    pytest.fail("the mixed days missed it")
+
+
+def test_nothing_is_stored_under_a_new_key(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Production ignores what it does not know, so a new key would be lost on the way back."""
+
+    async def main(clock: VirtualTime) -> None:
+        world = World(clock, 73)
+        await world.play(20, 40.0, 60.0, ["crash_leader"])
+        found = {key.partition("/")[0] for key in world.state.data}
+        assert found <= {kind.partition("/")[0] for kind in STORED} | {"part"}
+        await curio.sleep(0)
+
+    run_virtual(main, monkeypatch)
--- a/tests/test_heads.py
+++ b/tests/test_heads.py
@@ -9,7 +9,7 @@
 import h11
 
 from tests.standins import finish
-from topazhold.io.heads import MOST_HEADS, parse_request_head, render_answer_head
+from topazhold.io.heads import MAX_HEADS, parse_request_head, render_answer_head
 from topazhold.io.http import Answer, Request
 from topazhold.io.server import Connection
 
@@ -129,8 +129,8 @@
 
 def test_remembered_heads_are_bounded() -> None:
     """Users choose the paths, and so the heads."""
-    for number in range(2 * MOST_HEADS):
+    for number in range(2 * MAX_HEADS):
         assert parse_request_head(b"GET /api/jobs/wk-%d HTTP/1.1\r\nHost: x\r\n\r\n" % number)
-    assert parse_request_head.cache_info().currsize == MOST_HEADS
+    assert parse_request_head.cache_info().currsize == MAX_HEADS
     long = b"GET /" + b"a" * 2000 + b" HTTP/1.1\r\nHost: x\r\n\r\n"
     assert parse_request_head(long) is None
--- a/tests/test_random_days.py
+++ b/tests/test_random_days.py
@@ -8,6 +8,7 @@
 
 from tests.standins import VirtualTime, run_virtual
 from tests.world import World
+from topazhold.settings import LaterLimits
 
 CONTROLLERS = ["crash", "crash", "crash_leader", "crash_all", "roll", "crash_election"]
 NETWORK = [
@@ -67,6 +68,8 @@
     calm_s: float = 400.0,
     capacity: int = 9,
     limit: float = 1.0,
+    services: float = 0.0,
+    later: LaterLimits | None = None,
 ) -> World:
     worlds: list[World] = []
 
@@ -77,7 +80,8 @@
                 team.gpus *= limit
                 team.gpus_max *= limit
         worlds.append(world)
-        await world.play(jobs, trouble_s, calm_s, kinds)
+        world.services = services
+        await world.play(jobs, trouble_s, calm_s, kinds, later)
 
     run_virtual(main, monkeypatch)
     return worlds[0]
--- /dev/null
+++ b/tests/test_service_days.py
@@ -0,0 +1,59 @@
+"""Seeded random days with services, and days on which the service itself is upgraded."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.test_random_days import ALL, CONTROLLERS, MACHINES, MANY, NETWORK, OUTSIDE, play
+from tests.world import World
+from topazhold.settings import LaterLimits
+
+#: What the state service allows after it has lowered its limits.
+LATER = LaterLimits(write_rps=40.0, value_kb=2.0, txn_ops=5)
+
+SERVICE_DAYS = [
+    (41, []),
+    (42, ["replicas_end", "crash_leader"]),
+    (43, [*MACHINES, "replicas_end"]),
+    (44, [*ALL, *MANY]),
+    (45, ["state_down", "refused_then_down", "crash_all", "notice"]),
+    (46, ["deaf_zone", "mass_die", "freeze_leader", "cancel_at_end"]),
+]
+
+UPGRADE_DAYS = [
+    (51, []),
+    (52, CONTROLLERS),
+    (53, NETWORK),
+    (54, [*OUTSIDE, "refused_then_down"]),
+    (55, ["crash_leader", "late_writes", "late_copies", "crash_election"]),
+    (56, ["leader_off_all_but_workers", "leader_off_zone", "crash_leader"]),
+    (57, ["refused_then_down", "crash", "cancel_at_end", "odd_requests"]),
+    (58, [*ALL, *MANY]),
+    (59, [*MACHINES, "crash_leader", "state_slow"]),
+]
+
+
+def assert_rules(world: World) -> None:
+    story = "\n".join(world.notes[-60:])
+    assert world.broken == [], story
+    assert world.starts > 20, "hardly anything ran"
+    assert world.unfinished() == [], story
+
+
+@pytest.mark.parametrize(("seed", "kinds"), SERVICE_DAYS)
+def test_rules_hold_with_services(
+    seed: int, kinds: list[str], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    assert_rules(play(seed, kinds, monkeypatch, services=0.4))
+
+
+@pytest.mark.parametrize(("seed", "kinds"), UPGRADE_DAYS)
+def test_rules_hold_in_an_upgrade(
+    seed: int, kinds: list[str], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Production and current controllers lead in turn, on each other's data."""
+    world = play(seed, kinds, monkeypatch, trouble_s=90.0, jobs=45, later=LATER)
+    assert_rules(world)
+    assert world.versions == {}, "not all were upgraded"
+    assert world.state.txn_ops == LATER.txn_ops
+    assert world.state.refused_sizes == [], "too large for the lowered limits"
--- a/tests/world.py
+++ b/tests/world.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from random import Random
 from typing import Any
 
@@ -18,7 +19,9 @@
     start_node,
     stop_node,
 )
+from tests.versions import Version, production
 from topazhold.io.http import NoAnswer, NotSent
+from topazhold.settings import LaterLimits
 from topazhold.wire.codec import unpack
 
 #: Troubles that cut connections.
@@ -85,6 +88,9 @@
         self.frozen: dict[str, float] = {}  # controllers that stand still, until when
         self.work_s = 0.0  # what each message, in or out, keeps a controller busy
         self.peers_refuse = False
+        self.versions: dict[str, Version] = {}  # controllers of another version than the current
+        self.peer_messages: dict[str, list[tuple[Any, ...]]] = {}  # by tag, the last ones
+        self.services = 0.0  # share of the jobs that are services
         self.cancel_at_end = 0.0  # share of the jobs that end
         self.ending: list[str] = []
         self.cancelled_at_end = 0
@@ -141,7 +147,9 @@
             self.violate("wrong_place", f"{task.task_name}: too many in {worker.zone}")
 
     def runs_for(self, task: Task) -> float:
-        """How long a task runs, once it runs."""
+        """How long a task runs, once it runs; a replica does not end."""
+        if task.spec["shape"] == "daemon":
+            return math.inf
         return self.run_s[task.job]
 
     def peers(self, task: Task) -> list[tuple[Worker, Task]]:
@@ -184,6 +192,9 @@
         self.hear(job, status, body, False)
 
     def _complete(self, worker: Worker, task: Task) -> None:
+        if task.spec["shape"] == "daemon":
+            worker._end(task, "done")
+            return
         if task.spec["shape"] != "gang":
             self.results.add((task.job, task.index))
             worker._end(task, "done")
@@ -361,6 +372,25 @@
             "bloom_s": None,
         }
 
+    def service_fields(self) -> dict[str, Any]:
+        """What a service has instead of an array's or a gang's fields."""
+        return {
+            "lane": "serve",
+            "shape": "daemon",
+            "urgency": "critical",
+            "frames": self.rng.choice([2, 3, 4]),
+            "vcpus": 1.0,
+            "cards": self.rng.choice([0.0, 0.0, 1.0]),
+            "ram_gb": 2.0,
+            "image_gb": 1.0,
+            "apiary": None,
+            "same_place": False,
+            "drones": False,
+            "forage_s": 0.0,
+            "cap_s": 0.0,
+            "seal_s": 0.0,
+        }
+
     async def ask(self, method: str, path: str, body: Any, timeout_s: float) -> tuple[int, Any]:
         up = [name for name in self.names if name in self.nodes]
         if not up:
@@ -382,6 +412,9 @@
         spec = self.new_spec(number)
         if not spec["same_place"] and spec["apiary"] is None and rng.random() < 0.5:
             spec["scatter"] = True
+        service = self.services > 0 and rng.random() < self.services
+        if service:
+            spec.update(self.service_fields())
         if rng.random() < 0.05:
             spec["lane"] = "broken"
         job = spec["id"]
@@ -392,6 +425,8 @@
         cancel_at = self.clock.now + rng.uniform(1.0, 30.0) if rng.random() < 0.25 else None
         if spec["lane"] == "broken":
             cancel_at = self.clock.now + 25.0
+        elif service:
+            cancel_at = self.clock.now + rng.uniform(20.0, 120.0)
         accepted = False
         while self.told.get(job) not in ("done", "aborted"):
             if not accepted:
@@ -560,6 +595,8 @@
             self.net.loss = 0.1
             await curio.sleep(for_s)
             self.net.loss = 0.0
+        elif kind == "replicas_end":
+            self.end_replicas()
         elif kind == "cloud_down":
             self.cloud.down = True
             await curio.sleep(for_s)
@@ -567,6 +604,14 @@
         else:
             self.hit_machines(kind, for_s)
 
+    def end_replicas(self) -> None:
+        """Some replicas end by themselves, with whatever cause."""
+        for worker in self.cloud.workers.values():
+            for task in worker.tasks.values():
+                if task.spec.get("shape") == "daemon" and task.state == "running":
+                    if self.rng.random() < 0.3:
+                        worker._end(task, self.rng.choice(["done", "error"]))
+
     async def cut(self, kind: str, name: str, for_s: float) -> None:
         pairs = {
             "zones_cut": [("a", "b")],
@@ -642,8 +687,43 @@
             self.check_waiting()
             self.cloud.snapshot()
 
-    async def play(self, jobs: int, trouble_s: float, calm_s: float, kinds: list[str]) -> None:
-        """A day: jobs come while things fail, then a calm time to finish in."""
+    async def upgrade(self, after_s: float, later: LaterLimits) -> None:
+        """Controllers are replaced one after the other by ones of the current version.
+
+        One that ends before its turn comes back as it was. Once all are new, services are
+        asked for, and the state service lowers its limits.
+        """
+        await curio.sleep(after_s)
+        for name in self.rng.sample(self.names, len(self.names)):
+            self.versions.pop(name, None)
+            await self.crash([name])
+            self.note(f"{name} upgraded")
+            await curio.sleep(self.rng.uniform(1.0, 8.0))
+        self.services = 0.3
+        await curio.sleep(self.rng.uniform(0.0, 5.0))
+        self.note("limits lowered")
+        self.state.lower(later)
+
+    def run_production(self, later: LaterLimits) -> None:
+        """All controllers are of the production version; they know what is to come."""
+        self.versions = dict.fromkeys(self.names, production())
+        for settings in self.node_settings.values():
+            settings.cluster.state.next = later
+
+    async def play(
+        self,
+        jobs: int,
+        trouble_s: float,
+        calm_s: float,
+        kinds: list[str],
+        later: LaterLimits | None = None,
+    ) -> None:
+        """A day: jobs come while things fail, then a calm time to finish in.
+
+        With `later`, the production version serves at its beginning, and is upgraded.
+        """
+        if later is not None:
+            self.run_production(later)
         for name in self.names:
             await start_node(self, name)
         for number in range(self.cloud.capacity * 4 // 9):
@@ -651,6 +731,8 @@
         steps = await curio.spawn(self.steps, daemon=True)
         stranger = await curio.spawn(self.stranger, daemon=True)
         troubles = await curio.spawn(self.trouble, kinds, daemon=True) if kinds else None
+        if later is not None:
+            await curio.spawn(self.upgrade, 0.2 * trouble_s, later, daemon=True)
         users = []
         for number in range(jobs):
             users.append(await curio.spawn(self.user, number, daemon=True))
--- a/topazhold/control/summaries.py
+++ b/topazhold/control/summaries.py
@@ -16,7 +16,7 @@
 from topazhold.core.jobs import JobState, RunState
 from topazhold.core.machines import Machine
 from topazhold.core.preemption import turn
-from topazhold.core.search import cut_summary, pack_names
+from topazhold.core.search import cut_names, cut_summary, pack_names
 from topazhold.wire import messages as wire
 from topazhold.wire.codec import json_size
 
@@ -24,10 +24,15 @@
 
 #: Running counts told in the summary; they are for display.
 MOST_TOLD = 60
-#: Machines in one message of where tasks may be, and the messages in which each is named
+#: Machines in one message of where tasks may be, and the rounds in which each is named
 #: at least once.
-MOST_PLACED = 500
+MAX_PLACED = 500
 RETELL_ROUNDS = 16
+#: Of a stored value: what is not one of its lists, and the shares that running counts and
+#: machines' names may take.
+OVERHEAD_BYTES = 192
+RUNNING_SHARE = 0.3
+NAMES_SHARE = 0.5
 
 
 def _place(machine: Machine) -> list[Any]:
@@ -67,8 +72,6 @@
             state = (machine.changes, machine.endpoint)
             stale = self._told.get(machine.name) != state
             if stale or (number + self._rounds) % RETELL_ROUNDS == 0:
-                if len(items) >= MOST_PLACED:
-                    break
                 self._told[machine.name] = state
                 items.append(_place(machine))
         for name in [name for name in self._told if name not in machines]:
@@ -139,21 +142,38 @@
         Whoever reads a cut list of waiting gangs is told so: a gang that is left out
         must not look as if it waited no more.
         """
-        # All zones' values are written in one transaction, however many there are.
-        limit = min(self._context.value_limit - 1024, TXN_BYTES // (len(self._context.zones) + 1))
+        # Of all values together, a transaction takes no more than its bytes.
+        each = min(self._context.value_limit, TXN_BYTES // (len(self._context.zones) + 1))
+        limit = each - OVERHEAD_BYTES
         jobs = values[""]
-        waiting = cut_summary(jobs["waiting"], limit - json_size(jobs["running"]), json_size)
+        running = dict(cut_summary(jobs["running"].items(), int(limit * RUNNING_SHARE), json_size))
+        waiting = cut_summary(jobs["waiting"], limit - json_size(running), json_size)
         cut = len(waiting) < len(jobs["waiting"])
-        operations = [
-            wire.put(records.SUMMARY_PREFIX + "*", {**jobs, "waiting": waiting, "cut": cut})
-        ]
+        jobs = {**jobs, "running": running, "waiting": waiting, "cut": cut}
+        operations = [wire.put(records.SUMMARY_PREFIX + "*", jobs)]
         for zone in self._context.zones:
-            value = values[zone]
-            room = limit - json_size(value["all"])
-            value = {**value, "cache": cut_summary(value["cache"], room, json_size)}
-            operations.append(wire.put(records.SUMMARY_PREFIX + zone, value))
+            names = cut_names(values[zone]["all"], int(limit * NAMES_SHARE), self._rounds)
+            room = limit - json_size(names)
+            cache = cut_summary(values[zone]["cache"], room, json_size)
+            operations.append(
+                wire.put(records.SUMMARY_PREFIX + zone, {"cache": cache, "all": names})
+            )
         return operations
 
+    async def _write(self, operations: list[dict[str, Any]]) -> None:
+        """Write a summary in as many transactions as it needs."""
+        context = self._context
+        for start in range(0, len(operations), context.txn_ops):
+            part = operations[start : start + context.txn_ops]
+            try:
+                await context.store.multi(context.conditions(), part, DECISIONS)
+            except Conflict as exc:
+                await context.repair(exc.keys)
+                return
+            except TROUBLE as exc:
+                log.debug("summary not written: %s", exc)
+                return
+
     async def loop(self) -> None:
         """Peers hear every report period; the state service has it as configured."""
         written_at = -1e9
@@ -163,17 +183,11 @@
             await self._tell(("summary", self._context.term, values))
             await curio.sleep(0)
             items = self.placed_news()
-            if items:
-                await self._tell(("placed", self._context.term, items))
+            for start in range(0, len(items), MAX_PLACED):
+                part = items[start : start + MAX_PLACED]
+                await self._tell(("placed", self._context.term, part))
+                await curio.sleep(0)
             if now - written_at >= self._summary_s:
                 written_at = now
-                operations = self._stored(values)
-                try:
-                    await self._context.store.multi(
-                        self._context.conditions(), operations, DECISIONS
-                    )
-                except Conflict as exc:
-                    await self._context.repair(exc.keys)
-                except TROUBLE as exc:
-                    log.debug("summary not written: %s", exc)
+                await self._write(self._stored(values))
             await curio.sleep(max(1.0, 0.5 * self._context.report_s))
--- a/topazhold/core/ledger.py
+++ b/topazhold/core/ledger.py
@@ -26,8 +26,9 @@
 #: A gang of one presses once it has waited for this share of its class's longest aim
 #: for a start, or of the longest wait that the operators allow; by urgency.
 PATIENCE = (0.1, 0.2, 0.8, 1.0)
-#: Gone machines, and jobs that are over, kept against late news of them.
-MOST_REMEMBERED = 4000
+#: Gone machines, and jobs that are over, kept against late news of them: more than a
+#: large fleet loses, and more jobs than end, while a message may be under way.
+MAX_REMEMBERED = 20_000
 
 #: Cards are kept free for classes that are to start within so many report periods.
 RESERVE_REPORTS = 4.0
@@ -191,7 +192,7 @@
     @staticmethod
     def _remember(names: dict[str, None], name: str) -> None:
         names[name] = None
-        if len(names) > MOST_REMEMBERED:
+        if len(names) > MAX_REMEMBERED:
             del names[next(iter(names))]
 
     def release(self, machine: Machine, why: str, now: float) -> None:
--- a/topazhold/core/search.py
+++ b/topazhold/core/search.py
@@ -430,6 +430,16 @@
     return [f"{common}{end}" for end in str(ends).split(",")] if common or ends else []
 
 
+def cut_names(packed: list[str], limit: int, turn: int) -> list[str]:
+    """Packed names within a size: all, or every second, third, and so on, others each turn."""
+    common, ends = packed
+    step = len(common) + len(ends) + len('["",""]')
+    step = -(-step // max(1, limit))
+    if step <= 1:
+        return packed
+    return [common, ",".join(ends.split(",")[turn % step :: step])]
+
+
 def cut_summary(packed: Iterable[Any], limit: int, size_of: Callable[[Any], int]) -> list[Any]:
     """A zone's packed cache for the state service, cut to its value limit."""
     kept: list[Any] = []
--- a/topazhold/io/heads.py
+++ b/topazhold/io/heads.py
@@ -20,7 +20,7 @@
 HEAD_END = re.compile(rb"\n\r?\n")
 HEAD_LIMIT = 16 * 1024
 #: Distinct heads that are remembered, of each kind, and the longest of them.
-MOST_HEADS = 2048
+MAX_HEADS = 8192
 LONGEST_HEAD = 1024
 
 _PLAIN_REQUEST = b"GET / HTTP/1.1\r\nHost: any\r\n\r\n"
@@ -43,7 +43,7 @@
     return found.end() if found is not None else 0
 
 
-@lru_cache(maxsize=MOST_HEADS)
+@lru_cache(maxsize=MAX_HEADS)
 def parse_request_head(head: bytes) -> RequestHead | None:
     """Read a complete request head; None if it is not that of a plain request."""
     if len(head) > LONGEST_HEAD:
@@ -84,7 +84,7 @@
     return h11.Response(status_code=status, headers=headers)
 
 
-@lru_cache(maxsize=MOST_HEADS)
+@lru_cache(maxsize=MAX_HEADS)
 def render_answer_head(status: int, length: int, retry_after_s: int | None, close: bool) -> bytes:
     """The head of the answer to a plain request."""
     connection = h11.Connection(h11.SERVER)
--- a/topazhold/wire/messages.py
+++ b/topazhold/wire/messages.py
@@ -53,8 +53,9 @@
 
 LISTED_FAILED = "failed"
 
-#: Task names whose parts are remembered: every report names all tasks of its machine.
-MOST_NAMES = 4096
+#: Task names whose parts are remembered: every report names all tasks of its machine, and
+#: a large fleet has tens of thousands.
+MAX_NAMES = 32_768
 
 _JOB_ID = re.compile(r"wk-[0-9]{1,18}\Z")
 
@@ -286,7 +287,7 @@
     return f"{job}/{index}"
 
 
-@lru_cache(maxsize=MOST_NAMES)
+@lru_cache(maxsize=MAX_NAMES)
 def split_task_name(task_name: str) -> tuple[str, int] | None:
     """Job and number of a task name, or None if it is none."""
     job, _, number = task_name.rpartition("/")
