--- a/tests/test_broken_variants.py
+++ b/tests/test_broken_variants.py
@@ -138,7 +138,6 @@
 ]
 #: What shows only at a day's end.
 SLOW_VARIANTS: list[tuple[Patch, str]] = [
-    (no_answer_for_one, "forgotten"),
     (starve_a_team, "starved"),
     (starve_a_class, "starved"),
     (starve_the_largest, "starved"),
@@ -173,6 +172,24 @@
         assert rule in world.broken, f"seed {seed}"
 
 
+def test_checker_catches_a_job_that_nobody_answers_for(monkeypatch: pytest.MonkeyPatch) -> None:
+    """On every day on which the user of such a job does not cancel it, and on two at least.
+
+    Which jobs a day's users cancel is drawn; a cancelled one has its final answer.
+    """
+    no_answer_for_one(monkeypatch)
+    days = 0
+    for seed in range(101, 107):
+        with monkeypatch.context() as of_day:
+            world = play(seed, [], of_day, jobs=25, trouble_s=20.0, calm_s=160.0)
+        if any(job.endswith("7") for job in world.told.keys() - world.cancel_asked):
+            days += 1
+            assert "forgotten" in world.broken, f"seed {seed}"
+        if days == 2:
+            return
+    pytest.fail("too few days had a job that is not answered for")
+
+
 def test_variants_cover_the_rules() -> None:
     assert {rule for _, rule, _ in VARIANTS} == {
         "ran_twice",
