--- a/topazhold/control/direct_commands.py
+++ b/topazhold/control/direct_commands.py
@@ -21,10 +21,12 @@
 
 #: Direct commands under way at once, and idle connections kept for them, as shares
 #: of the sockets.
-STRIKING_SHARE = 1 / 32
+COMMANDING_SHARE = 1 / 32
 KEPT_SHARE = 1 / 16
 #: Of those under way, the share that may wait for workers that are silent.
 SILENT_SHARE = 0.5
+#: Report periods between two rounds at the most.
+ROUND_REPORTS = 0.05
 
 
 class DirectCommands:
@@ -37,7 +39,7 @@
         dial: Callable[[tuple[str, int], int], Client],
         hear: Callable[[Report], Awaitable[Any]],
     ) -> None:
-        self._most = max(4, int(sockets * STRIKING_SHARE))
+        self._most = max(4, int(sockets * COMMANDING_SHARE))
         self._most_silent = max(1, int(self._most * SILENT_SHARE))
         self._clients = Clients(dial, max(4, int(sockets * KEPT_SHARE)))
         self._context = context
@@ -51,7 +53,9 @@
     async def loop(self) -> None:
         """Send kills directly; the next report's answer repeats them."""
         while True:
-            await curio.sleep(0.05 * self._context.report_s)
+            due = self._context.commands_due
+            await curio.ignore_after(ROUND_REPORTS * self._context.report_s, due.wait)
+            due.clear()
             await self.round()
 
     async def round(self) -> None:
--- a/topazhold/control/intents.py
+++ b/topazhold/control/intents.py
@@ -126,6 +126,7 @@
         for name in values:
             self._context.shards.marked(name, revision)
         scheduler.intents_written(batch, await curio.clock())
+        await self._context.commands_due.set()
 
     async def _write_apart(self) -> bool:
         """Shards that took machines over, by themselves; their old shards still name them.
--- a/topazhold/control/term_context.py
+++ b/topazhold/control/term_context.py
@@ -67,6 +67,7 @@
         self.txn_ops = cluster.state.lasting_txn_ops
         self.shards = IntentShards(self.value_limit)
         self.wake = curio.Event()
+        self.commands_due = curio.Event()  # set where direct commands should not wait
         self._sequence = 0
 
     def token(self) -> str:
--- a/topazhold/core/ledger.py
+++ b/topazhold/core/ledger.py
@@ -86,6 +86,7 @@
         # What is to be done by the outside:
         self.to_command: set[str] = set()  # machines to send kills to directly
         self.to_wake: set[str] = set()  # machines to be made to report at once
+        self.to_wake_later: set[str] = set()  # those whose last answer is perhaps not made yet
         self.releases: dict[str, str] = {}  # machines to release, with the reason
         self.finished: list[Job] = []  # jobs to move to `over`
         self.rejected: dict[str, int] = {}  # holds that can't be honoured, by serial
--- a/topazhold/core/ordering.py
+++ b/topazhold/core/ordering.py
@@ -13,8 +13,10 @@
 
 log = logging.getLogger(__name__)
 
-#: Ended tasks left on a worker to ring with.
+#: Ended tasks left on a worker to wake it with.
 MOST_WAKE_TASKS = 3
+#: The answer to a report is made within so many report periods.
+ANSWER_REPORTS = 0.1
 
 
 class Ordering(Ledger):
@@ -78,10 +80,35 @@
         return commands
 
     def _wake(self, machine: Machine, now: float) -> None:
-        if machine.wake_tasks and now - (machine.heard_at or 0.0) > 0.1 * self.report_s:
+        """Make the worker report, so that it gets its launches.
+
+        The answer to a report that has just come may still be on its way to being made,
+        and take them; whoever is not served by it is woken a moment later.
+        """
+        if not machine.wake_tasks:
+            return
+        if self.just_heard(machine, now):
+            self.to_wake_later.add(machine.name)
+        else:
             self.to_wake.add(machine.name)
             self.to_command.add(machine.name)
 
+    def just_heard(self, machine: Machine, now: float) -> bool:
+        """Whether the answer to the machine's last report may not be made yet."""
+        return now - (machine.heard_at or 0.0) <= ANSWER_REPORTS * self.report_s
+
+    def wake_those_left(self, now: float) -> None:
+        """Wake the workers whose launches came too late for the answer that was due."""
+        for name in list(self.to_wake_later):
+            machine = self.machines.get(name)
+            if machine is not None and self.just_heard(machine, now):
+                continue
+            self.to_wake_later.discard(name)
+            if machine is not None and machine.wake_tasks:
+                if any(run.state is RunState.WRITTEN for run in machine.runs.values()):
+                    self.to_wake.add(name)
+                    self.to_command.add(name)
+
     def fresh(self, machine: Machine, now: float) -> bool:
         """Whether the worker was heard not long ago, so that it is likely to answer."""
         return machine.heard_at is not None and now - machine.heard_at < 2.5 * self.report_s
--- a/topazhold/core/service_placing.py
+++ b/topazhold/core/service_placing.py
@@ -21,6 +21,10 @@
 EMPTY_REPORTS = 3.0
 SPOT_REPORTS = 10.0
 ERROR_REPORTS = 5.0
+#: A worker that is woken reports after about so many report periods; others' reports come
+#: a period after the last one, give or take this share of it.
+WAKE_REPORTS = 0.1
+REPORT_SPREAD = 0.25
 #: A machine on which a replica failed is avoided for so many leases.
 FAILED_LEASES = 4.0
 #: Kinds of other work that are looked at to tell whether a replica is in their way.
@@ -140,10 +144,12 @@
 
     def _launch_delay_s(self, machine: Machine, now: float) -> float:
         """How long until the worker is likely to report, and so can take a launch."""
-        if machine.wake_tasks:
-            return 0.0
+        if machine.wake_tasks and not self.just_heard(machine, now):
+            return WAKE_REPORTS * self.report_s
         heard_at = machine.heard_at if machine.heard_at is not None else now
-        return max(0.0, heard_at + self.report_s - now)
+        earliest = heard_at + (1.0 - REPORT_SPREAD) * self.report_s
+        latest = heard_at + (1.0 + REPORT_SPREAD) * self.report_s
+        return max(0.0, 0.5 * (max(now, earliest) + latest) - now)
 
     def _hindrance(self, machine: Machine, need: Room) -> float:
         """Of the kinds of other work, the share of which the machine would take fewer tasks."""
--- a/topazhold/core/stopping.py
+++ b/topazhold/core/stopping.py
@@ -106,6 +106,7 @@
                 self._finish_off(job, now)
         for machine in list(self.machines.values()):
             self._watch(machine, now)
+        self.wake_those_left(now)
 
     def _step_gang(self, job: Job, now: float) -> None:
         before = job.gang_state
