--- /dev/null
+++ b/tests/test_state_limits.py
@@ -0,0 +1,335 @@
+"""The state service's limits, which may become smaller at any moment."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import curio
+import pytest
+from click.testing import CliRunner
+
+from tests.conftest import MACHINE_TYPE, Bench, make_spec
+from tests.standins import VirtualTime, run_virtual, settings_for
+from tests.test_intent_shards import fill, fleet
+from tests.test_settings import GOOD
+from topazhold import settings as conf
+from topazhold.cli import main
+from topazhold.control.intents import Intents
+from topazhold.control.store import DECISIONS, Conflict, Store, StoreDown
+from topazhold.control.summaries import SummaryPublisher
+from topazhold.control.term_context import TermContext
+from topazhold.core import records
+from topazhold.core.holds import HoldTable
+from topazhold.core.intent_shards import IntentShards
+from topazhold.core.jobs import Job, Run
+from topazhold.core.scheduler import Scheduler
+from topazhold.settings import LaterLimits, Operator
+from topazhold.wire import messages as wire
+from topazhold.wire.codec import json_size, pack
+
+SMALL = 1800
+LATER = "\n[cluster.state.next]\nwrite_rps = 15.0\nvalue_kb = 2.0\ntxn_ops = 5\n"
+
+
+# -- settings ---------------------------------------------------------------------
+
+
+def test_later_limits_are_kept_from_the_start(tmp_path: Path) -> None:
+    path = tmp_path / "settings.toml"
+    path.write_text(GOOD + LATER)
+    state = conf.load(path).cluster.state
+    assert (state.lasting_value_bytes, state.lasting_txn_ops) == (2048, 5)
+    assert (state.write_rps, state.lasting_write_rps) == (20.0, 15.0)
+    assert state.lasting_rps == state.rps, "a limit that is not named stays as it is"
+
+
+def test_limits_that_grow_are_not_used_before(tmp_path: Path) -> None:
+    path = tmp_path / "settings.toml"
+    path.write_text(GOOD + LATER.replace("value_kb = 2.0", "value_kb = 64.0"))
+    assert conf.load(path).cluster.state.lasting_value_bytes == 8 * 1024
+
+
+def test_without_later_limits_the_present_ones_last(tmp_path: Path) -> None:
+    path = tmp_path / "settings.toml"
+    path.write_text(GOOD)
+    state = conf.load(path).cluster.state
+    assert (state.lasting_value_bytes, state.lasting_txn_ops) == (8 * 1024, 16)
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "field"),
+    [
+        ("value_kb = 2.0", "value_kb = 0.0", "cluster.state.next.value_kb"),
+        ("value_kb = 2.0", "value_kb = nan", "cluster.state.next.value_kb"),
+        ("write_rps = 15.0", "write_rps = -1.0", "cluster.state.next.write_rps"),
+        ("txn_ops = 5", 'txn_ops = "few"', "txn_ops"),
+    ],
+)
+def test_later_limits_that_are_none_are_named(
+    tmp_path: Path, old: str, new: str, field: str
+) -> None:
+    path = tmp_path / "settings.toml"
+    path.write_text(GOOD + LATER.replace(old, new))
+    result = CliRunner().invoke(main, ["check", "--config", str(path)])
+    assert result.exit_code == 2 and field in result.stderr
+
+
+# -- intents that an earlier version left under larger limits -----------------------
+
+
+def shards_of_larger_limits(bench: Bench, machines: list[str]) -> IntentShards:
+    """One stored value with all these machines, as the larger limit allowed it."""
+    shards = IntentShards(SMALL)
+    shards.found("0001", 7, machines)
+    return shards
+
+
+def test_large_shard_is_split_and_no_intent_is_ever_nowhere() -> None:
+    bench = fleet(16)
+    fill(bench, 4)
+    machines = bench.scheduler.machines
+    shards = shards_of_larger_limits(bench, list(machines))
+    touched = shards.of(machines["host-000"], machines)
+    values = shards.values({touched}, machines, "t")
+    assert len(values) > 2
+    assert all(json_size(value) <= SMALL for _, value in values.values())
+    named = [name for _, value in values.values() for name in value["boxes"]]
+    assert sorted(named) == sorted(machines)
+
+
+def test_machine_that_alone_is_too_large_stays_where_it_is_stored() -> None:
+    """Moved to a value of its own it would be in none: the state service takes no such value."""
+    bench = fleet(6)
+    fill(bench, 4)
+    machines = bench.scheduler.machines
+    spec = make_spec(700, shape="batch", tasks=60)
+    job = bench.job(spec)
+    for index in range(60):
+        bench.scheduler._attach(Run(job, index, 2**40, "host-002", bench.now))
+    shards = shards_of_larger_limits(bench, list(machines))
+    values = shards.values({shards.of(machines["host-000"], machines)}, machines, "t")
+    assert all(json_size(value) <= SMALL for _, value in values.values())
+    named = [name for _, value in values.values() for name in value["boxes"]]
+    assert sorted(named) == sorted(machines.keys() - {"host-002"})
+    assert "0001" not in values, "the stored value must go on naming it"
+    assert shards.of(machines["host-002"], machines).name == "0001"
+
+
+class StrictStore:
+    """Takes what the lowered limits allow, and knows what is stored."""
+
+    def __init__(self, txn_ops: int, value_bytes: int) -> None:
+        self.txn_ops = txn_ops
+        self.value_bytes = value_bytes
+        self.stored: dict[str, Any] = {}
+        self.refuse = 0  # so many transactions to come get no further
+        self.steps: list[set[str]] = []  # machines that stand in any value, after each step
+
+    async def commit(self, conditions: Any, operations: Any, *_: Any, **__: Any) -> int:
+        return await self.multi(conditions, operations)
+
+    async def multi(self, conditions: Any, operations: Any, *_: Any) -> int:
+        if self.refuse:
+            self.refuse -= 1
+            raise StoreDown("refused")
+        assert len(operations) <= self.txn_ops
+        for change in operations:
+            if "put" in change:
+                assert json_size(change["data"]) <= self.value_bytes, change["put"]
+                self.stored[change["put"]] = change["data"]
+            else:
+                self.stored.pop(change["drop"], None)
+        self.steps.append({name for value in self.stored.values() for name in value["boxes"]})
+        return 100 + len(self.steps)
+
+
+def lowered_settings() -> Any:
+    settings = settings_for("hive-0", "a", [])
+    settings.cluster.state.next = LaterLimits(value_kb=2.0, txn_ops=5)
+    return settings
+
+
+@pytest.mark.parametrize("refuse", [0, 1, 2])
+def test_machine_that_goes_leaves_no_other_without_intents(
+    refuse: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Its shard was too large and gave machines away. Written before the new ones, and these
+    refused, their intents stood in no value."""
+    bench = fleet(16)
+    fill(bench, 4)
+    machines = bench.scheduler.machines
+    store = StrictStore(5, 2048)
+    store.stored["on/0001"] = records.on_value(machines.values(), "old")
+
+    async def act(clock: VirtualTime) -> None:
+        await curio.sleep(0)
+        settings = lowered_settings()
+        context = TermContext(settings, store, bench.scheduler, 5, 7, lambda now: True)  # type: ignore[arg-type]
+        context.shards.found("0001", 7, list(machines))
+        shard = context.shards.gone("host-015")
+        assert shard is not None
+        del machines["host-015"]
+        store.refuse = refuse
+        intents = Intents(context)
+        for _ in range(3):
+            await intents.tidy({shard})
+
+    run_virtual(act, monkeypatch)
+    assert store.steps
+    for step in store.steps:
+        assert step >= set(machines)
+
+
+def test_plan_on_a_large_shard_is_written_within_the_limits(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """One more task there needs more new values than one transaction takes."""
+    bench = fleet(16)
+    fill(bench, 16)
+    machines = bench.scheduler.machines
+    store = StrictStore(5, 2048)
+    store.stored["on/0001"] = records.on_value(machines.values(), "old")
+    job = bench.job(make_spec(900, shape="batch", tasks=1))
+    run = Run(job, 0, 3, "host-000", bench.now)
+    bench.scheduler._attach(run)
+
+    async def act(clock: VirtualTime) -> None:
+        await curio.sleep(0)
+        settings = lowered_settings()
+        context = TermContext(settings, store, bench.scheduler, 5, 7, lambda now: True)  # type: ignore[arg-type]
+        context.shards.found("0001", 7, list(machines))
+        await Intents(context).write([run])
+
+    run_virtual(act, monkeypatch)
+    assert run.state.value == "written"
+    for step in store.steps:
+        assert step >= set(machines)
+    stored = [
+        packed
+        for value in store.stored.values()
+        for packed in value["boxes"].get("host-000", [0, "", False, "", []])[4]
+    ]
+    assert [job.id, 0, 3] in stored
+
+
+# -- other values -------------------------------------------------------------------
+
+
+def test_summary_fits_the_lowered_limits_whatever_there_is(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Names of a zone's 700 machines alone were more than a value, and nothing was written."""
+    settings = lowered_settings()
+    settings.cluster.zones = list("abcdefgh")
+    settings.cluster.teams[0].gpus_max = 1e6
+    scheduler = Scheduler(settings, Operator(), 3, HoldTable("hive-0"), Random(1), 0.0)
+    scheduler.machine_types = {"b1": MACHINE_TYPE}
+    for number in range(5600):
+        scheduler.add_machine(f"host-{number:06d}", "abcdefgh"[number % 8], False, "b1", 0.0)
+    for number in range(300):
+        spec = make_spec(tasks=4, id=f"wk-{10**17 + number}")
+        scheduler.add_job(Job(spec, 0.0, 1e9, "hive-1"))
+    told: list[Any] = []
+    transactions: list[int] = []
+
+    class Taking:
+        async def multi(self, conditions: Any, operations: Any, rank: float) -> int:
+            transactions.append(len(operations))
+            return 1
+
+    async def act(clock: VirtualTime) -> None:
+        await curio.sleep(0)
+        context = TermContext(settings, Taking(), scheduler, 3, 7, lambda now: True)  # type: ignore[arg-type]
+        summaries = SummaryPublisher(context, 5.0, None)  # type: ignore[arg-type]
+        told.append(summaries._stored(summaries.summary(1.0)))
+        await summaries._write(told[0])
+
+    run_virtual(act, monkeypatch)
+    assert len(told[0]) == 9
+    assert all(json_size(change["data"]) <= 2048 for change in told[0])
+    assert all(change["data"]["all"][1] and change["data"]["cache"] for change in told[0][1:])
+    assert sum(transactions) == 9 and max(transactions) <= 5
+
+
+def test_end_of_a_job_fits_whatever_its_live_value_was() -> None:
+    spec = make_spec(
+        image="i" * 200, job_class="c" * 200, team="t" * 200, machine_types=["m"] * 999
+    )
+    live = records.live_value(Job(spec, 0.0, 0.0, "hive-0"), "t")
+    assert json_size(live) > 2048
+    over = records.over_value(live["spec"], wire.DONE, 5.0, "t")
+    assert json_size(over) < 2048
+    assert records.read_over(over, 6.0, 1.0).spec.team == spec.team
+
+
+@pytest.mark.parametrize("tasks", [1, 7, 4096, 100_000])
+def test_room_is_kept_for_the_done_marks(tasks: int) -> None:
+    """A job is taken only if its record still fits when all its tasks are done."""
+    spec = make_spec(shape="batch", tasks=tasks)
+    job = Job(spec, 0.0, 0.0, "hive-0")
+    before = json_size(records.live_value(job, "t"))
+    for index in range(tasks):
+        job.mark_done(index)
+    value = records.live_value(job, "t")
+    assert json_size({**value, "count": 0}) <= before + records.marks_size(spec)
+
+
+# -- the rate -----------------------------------------------------------------------
+
+
+class Answering:
+    """A client whose state service gives the answers of a list, in turn."""
+
+    def __init__(self, answers: list[tuple[int, Any]]) -> None:
+        self.answers = answers
+        self.asked = 0
+
+    async def ask(self, *_: Any) -> tuple[int, bytes]:
+        self.asked += 1
+        status, body = self.answers.pop(0)
+        return status, pack(body)
+
+
+def write_some(client: Answering, rate: LaterLimits | None, monkeypatch: pytest.MonkeyPatch) -> Any:
+    settings = settings_for("hive-0", "a", [])
+    settings.cluster.state.write_rps = 20.0
+    settings.cluster.state.next = rate
+    outcomes: list[Any] = []
+
+    async def act(clock: VirtualTime) -> None:
+        store = Store(client, client, settings.cluster.state, 1.0)  # type: ignore[arg-type]
+        store.set_share(0.5)
+        while client.answers:
+            try:
+                outcomes.append(await store.multi([], [wire.drop("a/b")], DECISIONS))
+            except (StoreDown, Conflict) as exc:
+                outcomes.append(type(exc))
+        outcomes.append(store._writes._rate)
+
+    run_virtual(act, monkeypatch)
+    return outcomes
+
+
+def test_refusal_for_the_rate_changes_over_to_the_later_limits(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The limits fall without notice: a refusal is all that shows it. Nothing is repeated."""
+    client = Answering([(200, {"harvest": 3}), (429, {}), (200, {"harvest": 4})])
+    outcomes = write_some(client, LaterLimits(write_rps=10.0), monkeypatch)
+    assert outcomes == [3, StoreDown, 4, 5.0] and client.asked == 3
+
+
+def test_share_of_the_rate_without_a_refusal(monkeypatch: pytest.MonkeyPatch) -> None:
+    client = Answering([(200, {"harvest": 3})])
+    assert write_some(client, LaterLimits(write_rps=10.0), monkeypatch) == [3, 10.0]
+
+
+def test_value_that_is_too_large_is_named_and_not_repeated(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    caplog.set_level("INFO")
+    client = Answering([(400, {"error": "too large"})])
+    assert write_some(client, None, monkeypatch) == [StoreDown, 10.0]
+    assert client.asked == 1 and "a/b" in caplog.text
--- a/tests/test_users.py
+++ b/tests/test_users.py
@@ -54,6 +54,10 @@
         assert (await submit(node, id="wk-4", machine_types=["b9"])).status == 422
         assert (await submit(node, id="wk-5", tasks=11)).status == 422
         assert (await submit(node, id="wk-6", tasks=0)).status == 400
+        # All replicas of a service run at once; of an array one task need fit the limit.
+        assert (await submit(node, id="wk-7", tasks=11, shape="daemon")).status == 422
+        assert (await submit(node, id="wk-8", tasks=11, shape="batch")).status == 201
+        assert (await submit(node, id="wk-10", tasks=10, shape="daemon")).status == 201
         assert (await ask(node, "POST", "/api/jobs", b"\xff\x00nonsense")).status == 400
         assert (await ask(node, "POST", "/api/jobs", pack([1, 2]))).status == 400
         for path in ("/api/jobs/wk-9", "/api/jobs/none", "/api/jobs/wk-1/x", "/nothing"):
