A gang is not promised room that only a guarantee it lacks could free

Machines are now also rented for gangs and services that must be in two zones of which one is full. Cancellations between controllers leave node.py; names of task reports and listed machines.

--- a/tests/test_cancellations.py
+++ b/tests/test_cancellations.py
@@ -15,6 +15,7 @@
 
 from tests.scenes import SITES, Scene, assert_rules, play_scene
 from tests.standins import VirtualTime, Worker, run_virtual, settings_for, start_node
+from topazhold.control.cancellation_exchange import CancellationExchange
 from topazhold.control.enforcing import Enforcer
 from topazhold.control.leading import Leading
 from topazhold.control.node import Node
@@ -315,7 +316,7 @@
     async def silent(self: Any, peer: str) -> None:
         pass
 
-    monkeypatch.setattr(Node, "_tell_cancellations", silent)
+    monkeypatch.setattr(CancellationExchange, "_tell", silent)
     monkeypatch.setattr(Cancellations, "informed", True, raising=False)
     assert "ran_cancelled" in gap(confirmer_ends, monkeypatch, "hive").broken
 
--- a/tests/test_intent_shards.py
+++ b/tests/test_intent_shards.py
@@ -25,7 +25,7 @@
             bench.scheduler._attach(Run(job, 0, 2**60, machine.name, bench.now))
 
 
-def test_machines_of_a_zone_share_shelves() -> None:
+def test_machines_of_a_zone_share_shards() -> None:
     bench = fleet(40)
     shards = IntentShards(7000)
     machines = bench.scheduler.machines
@@ -36,7 +36,7 @@
         assert len(zones) == 1
 
 
-def test_full_shelf_gives_machines_away_and_every_value_fits() -> None:
+def test_full_shard_gives_machines_away_and_every_value_fits() -> None:
     bench = fleet(32)
     fill(bench, 16)
     shards = IntentShards(7000)
@@ -52,7 +52,7 @@
     assert sorted(named) == sorted(machines)
 
 
-def test_take_over_begun_anew_keeps_one_shelf_a_name() -> None:
+def test_take_over_begun_anew_keeps_one_shard_a_name() -> None:
     """Two of one name overwrote each other: a task ran twice after the next take-over."""
     bench = fleet(4)
     first = IntentShards(7000)
@@ -65,7 +65,7 @@
     assert again._new().name == "0002"
 
 
-def test_machine_on_two_shelves_keeps_both_intents() -> None:
+def test_machine_on_two_shards_keeps_both_intents() -> None:
     """A machine that changed its shard may stand in the old value too: both are believed."""
     bench = Bench(machines=0, term=8)
     spec = make_spec(shape="batch", tasks=2)
@@ -82,7 +82,7 @@
     assert records.read_on("nonsense") == ([], [])
 
 
-def test_intents_of_machines_that_changed_shelves_are_never_nowhere() -> None:
+def test_intents_of_machines_that_changed_shards_are_never_nowhere() -> None:
     """The transaction with both shards failed, and the next one named the old one alone."""
     bench = fleet(32)
     fill(bench, 16)
--- a/tests/test_intents.py
+++ b/tests/test_intents.py
@@ -80,8 +80,8 @@
         ), run.job.id
 
 
-def test_plan_over_many_shelves_and_full_ones(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Shelves that split while they are written must not make a transaction too large."""
+def test_plan_over_many_shards_and_full_ones(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Shards that split while they are written must not make a transaction too large."""
     store, runs = write_plan(monkeypatch, machines=80, jobs=6000)
     assert all(run.state is RunState.WRITTEN for run in runs)
     assert len(set().union(*store.puts)) > 5
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -10,6 +10,7 @@
 from topazhold.core.machines import MachineState
 from topazhold.core.records import Intents
 from topazhold.core.renting import counted
+from topazhold.core.search import PRESSING
 from topazhold.wire.messages import ListedMachine, Report, TaskReport
 
 
@@ -766,3 +767,78 @@
     assert offers[run.machine].ready_for((1, service.level), need) == math.inf
     (other,) = offers.keys() - {run.machine}
     assert offers[other].ready_for((1, service.level), need) < bench.scheduler.report_s
+
+
+def test_gang_that_must_be_in_two_zones_gets_a_machine_in_the_full_one() -> None:
+    """Long work filled a zone; the room that a gang of two lacked there was never rented, since
+    the other zone had more than enough."""
+    bench = Bench(machines=4)
+    long = bench.job(make_spec(5, tasks=2, gpus=4.0, zone="b", estimated_run_s=5000.0))
+    bench.hold(long, {"host-1": 1, "host-3": 1})
+    bench.plan()
+    bench.all_report()
+    bench.job(make_spec(6, tasks=2, gpus=4.0, same_place=False, scatter=True))
+    bench.now += 300.0
+    bench.all_report()
+    bench.scheduler.tick(bench.now)
+    bench.scheduler.last_arrival = -1e9
+    asks = bench.scheduler.rent(bench.now)
+    assert [(ask.zone, ask.count) for ask in asks] == [("b", 1)]
+
+
+def test_service_that_must_be_in_two_zones_gets_a_machine_in_the_full_one() -> None:
+    bench = Bench(machines=4)
+    long = bench.job(make_spec(5, tasks=2, gpus=4.0, zone="b", estimated_run_s=5000.0))
+    bench.hold(long, {"host-1": 1, "host-3": 1})
+    bench.plan()
+    bench.all_report()
+    spec = make_spec(
+        6,
+        shape="daemon",
+        tasks=2,
+        gpus=4.0,
+        same_place=False,
+        scatter=True,
+        estimated_run_s=0.0,
+        checkpoint_s=0.0,
+    )
+    service = bench.job(spec)
+    bench.plan()
+    assert service.waiting_count == 1, "at most one replica may be in a zone"
+    bench.now += 300.0
+    bench.all_report()
+    bench.scheduler.tick(bench.now)
+    bench.scheduler.last_arrival = -1e9
+    asks = bench.scheduler.rent(bench.now)
+    assert [(ask.zone, ask.count) for ask in asks] == [("b", 1)]
+
+
+def test_pressing_gang_does_not_count_on_a_guarantee_that_it_lacks() -> None:
+    """It was promised room that only a guarantee could free, held a machine for it without
+    end, and an empty machine beside it seemed no better."""
+    bench = Bench(machines=2)
+    for number in (1, 2):
+        bench.job(make_spec(number, shape="batch", tasks=1, gpus=4.0, team="blue"))
+    bench.plan()
+    bench.all_report()
+    for name in ("host-0", "host-1"):
+        bench.state(name, "running")
+    bench.all_report()
+    need = make_spec(3, tasks=1, gpus=4.0, urgency="best_effort")
+    room = (need.cpus, need.gpus, need.memory_gb)
+    borrowed = [
+        run for job in bench.scheduler.jobs.values() if not job.within for run in job.runs.values()
+    ]
+    assert len(borrowed) == 1, "the second job of blue is beyond its guarantee"
+    (offer,) = (
+        offer
+        for zone in "ab"
+        for offer in bench.scheduler.offers(zone, bench.now)
+        if offer.name == borrowed[0].machine
+    )
+    by_guarantee, pressing = (0, 3), (PRESSING, 3)
+    soon_s = 3 * bench.scheduler.report_s
+    assert offer.ready_for(by_guarantee, room) < soon_s
+    assert offer.ready_for(pressing, room) > soon_s
+    more_urgent = (PRESSING, 1)
+    assert offer.ready_for(more_urgent, room) < soon_s, "by its urgency it may stop that work"
--- a/topazhold/control/booking.py
+++ b/topazhold/control/booking.py
@@ -13,12 +13,14 @@
 
 from topazhold.control.store import DECISIONS, TROUBLE, Conflict, Store
 from topazhold.core import records
-from topazhold.core.holds import HOLD_PREFIX, Hold, HoldTable, Turn, pack_value
+from topazhold.core.holds import HOLD_PREFIX, LATER, Hold, HoldTable, Turn, pack_value
 from topazhold.core.jobs import Job
 from topazhold.core.preemption import turn
 from topazhold.core.search import (
+    PRESSING,
     Group,
     Offer,
+    Rank,
     SearchRules,
     score_held,
     search,
@@ -67,7 +69,10 @@
         self.searched = -1e9
 
     @property
-    def rank(self) -> tuple[int, int]:
+    def rank(self) -> Rank:
+        """By which others' work may be counted on to give way."""
+        if self.turn[2] < LATER:
+            return (PRESSING, self.turn[1])
         return self.turn[:2]
 
 
--- /dev/null
+++ b/topazhold/control/cancellation_exchange.py
@@ -0,0 +1,90 @@
+"""Tells the other controllers of confirmed cancellations, and hears of theirs."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Any
+
+import curio
+
+from topazhold.core.cancellations import Cancellations
+from topazhold.io.links import Link, encode
+
+#: How long a cancellation's answer waits for the first peer to have it.
+RECEIPT_REPORTS = 0.1
+
+#: Tells whoever leads here of a cancelled job and the time of day of its confirmation.
+Cancelled = Callable[[str, float], Awaitable[None]]
+
+
+class CancellationExchange:
+    """Keeps the peers' records of cancellations level with this controller's.
+
+    `cancelled` is called for each cancellation that is news here, and `hears_peers`
+    says whether any peer was heard just now.
+    """
+
+    def __init__(
+        self,
+        node: str,
+        report_s: float,
+        cancellations: Cancellations,
+        links: Mapping[str, Link],
+        hears_peers: Callable[[float], bool],
+        cancelled: Cancelled,
+    ) -> None:
+        self._node = node
+        self._report_s = report_s
+        self._cancellations = cancellations
+        self._links = links
+        self._hears_peers = hears_peers
+        self._cancelled = cancelled
+        self._receipt = curio.Event()  # set, and replaced, when a peer acknowledges
+
+    async def confirm(self, job: str, at: float) -> None:
+        """A user is about to be told that the job is cancelled.
+
+        Before that, one peer at least is to have it, if one is to be heard: this
+        controller may end just after its answer, and the state service with it.
+        """
+        if not self._cancellations.add(job, at, time.time()):
+            return
+        await self._cancelled(job, at)
+        for peer in self._links:
+            await self._tell(peer)
+        now = await curio.clock()
+        end = now + RECEIPT_REPORTS * self._report_s
+        while now < end and self._hears_peers(now):
+            if any(self._cancellations.peer_has(peer, job) for peer in self._links):
+                return
+            await curio.ignore_after(end - now, self._receipt.wait)
+            now = await curio.clock()
+
+    async def _tell(self, peer: str) -> None:
+        """Send a peer what it lacks; it acknowledges, or is told again by the next ping."""
+        news = self._cancellations.news(peer)
+        link = self._links.get(peer)
+        if news is not None and link is not None:
+            await link.send(encode(("cancelled", self._node, self._cancellations.boot, *news)))
+
+    async def hear_news(self, message: tuple[Any, ...]) -> None:
+        """A peer's message with cancellations; it is acknowledged."""
+        _, peer, boot, after, upto, entries = message
+        fresh = self._cancellations.receive(
+            str(peer), str(boot), int(after), int(upto), entries, time.time()
+        )
+        for job, at in fresh:
+            await self._cancelled(job, at)
+        link = self._links.get(str(peer))
+        if link is not None:
+            receipt = self._cancellations.receipts()[str(peer)]
+            await link.send(encode(("receipt", self._node, *receipt)))
+
+    async def hear_receipt(self, peer: str, boot: str, upto: int) -> None:
+        """A peer acknowledges all up to a number; what it still lacks is sent."""
+        lacks = self._cancellations.acknowledged(peer, boot, upto)
+        passed, self._receipt = self._receipt, curio.Event()
+        await passed.set()
+        if lacks:
+            await self._tell(peer)
--- a/topazhold/control/cloud.py
+++ b/topazhold/control/cloud.py
@@ -72,7 +72,7 @@
 
     async def machines(self) -> list[ListedMachine]:
         """The whole list, as late as it is."""
-        machine_names: list[ListedMachine] = []
+        listed: list[ListedMachine] = []
         after: str | None = None
         while True:
             status, body = await self._ask("GET", wire.list_query(after, PAGE), None)
@@ -82,7 +82,7 @@
                 page = read(body, wire.MachinePage)
             except BadMessage as exc:
                 raise CloudDown(f"list: {exc}") from None
-            machine_names += page.machines
+            listed += page.machines
             if not page.truncated or not page.machines:
-                return machine_names
+                return listed
             after = page.machines[-1].id
--- a/topazhold/control/fleet_manager.py
+++ b/topazhold/control/fleet_manager.py
@@ -29,11 +29,11 @@
         while True:
             asked = await curio.clock()
             try:
-                machine_names = await self._cloud.machines()
+                listed = await self._cloud.machines()
             except CloudDown as exc:
                 log.debug("machine list: %s", exc)
             else:
-                self._context.scheduler.listed(machine_names, asked, await curio.clock())
+                self._context.scheduler.listed(listed, asked, await curio.clock())
                 self._listed = True
             await curio.sleep(max(self._context.report_s, 0.5 * self._context.scheduler.lag_s))
 
@@ -73,9 +73,9 @@
                 await curio.sleep(self._context.report_s)
                 continue
             now = await curio.clock()
-            for machine_name in names:
+            for rented in names:
                 self._context.scheduler.add_machine(
-                    machine_name, ask.zone, ask.spot, ask.machine_type, now
+                    rented, ask.zone, ask.spot, ask.machine_type, now
                 )
             kind = "spot" if ask.spot else "ordinary"
             log.info("rented %d of %d %s in %s", len(names), ask.count, kind, ask.zone)
--- a/topazhold/control/node.py
+++ b/topazhold/control/node.py
@@ -11,6 +11,7 @@
 import curio
 
 from topazhold.control.booking import Booking, View
+from topazhold.control.cancellation_exchange import CancellationExchange
 from topazhold.control.cloud import Cloud, CloudDown
 from topazhold.control.enforcing import Enforcer
 from topazhold.control.gang_search import GangSearch
@@ -54,8 +55,6 @@
 ROUND_GRANTS = 0.1
 #: Steady clocks drift; a lease is taken to end this much earlier.
 DRIFT = 0.002
-#: How long a cancellation's answer waits for the first peer to have it.
-RECEIPT_REPORTS = 0.1
 #: The catalog's prices move slowly.
 CATALOG_REPORTS = 60
 #: Share of the sockets for those who connect to this node.
@@ -122,15 +121,6 @@
         )
         self._leader_loaded: tuple[str, float] = ("", -1e9)  # whose ping said so, when
         self._peer_boots: dict[str, str] = {}
-        self._receipt = curio.Event()  # set, and replaced, when a peer acknowledges
-        self.users = Users(
-            settings,
-            self.store,
-            self.machine_types,
-            self._accepted,
-            self._running_count,
-            self._cancelled,
-        )
         self.fallback = WorkerFallback(
             self.leadership,
             settings.domain,
@@ -146,6 +136,22 @@
         self.valid_until = 0.0
         self._election = curio.Event()
         self.links = {seed.node_name: Link(address(seed.addr), 0.5) for seed in settings.seeds}
+        self.cancellation_exchange = CancellationExchange(
+            self.name,
+            self.report_s,
+            self.cancellations,
+            self.links,
+            self.fallback.hears_peers,
+            self._tell_leading,
+        )
+        self.users = Users(
+            settings,
+            self.store,
+            self.machine_types,
+            self._accepted,
+            self._running_count,
+            self.cancellation_exchange.confirm,
+        )
         self.gang_search = GangSearch(
             settings,
             operator,
@@ -309,52 +315,10 @@
         quiet = now - at > 2 * SILENT_GRANTS * self.grant_s
         return not quiet and self.cancellations.peer_has(leader, job)
 
-    async def _cancelled(self, job: str, at: float) -> None:
-        """A user is about to be told that the job is cancelled.
-
-        Before that, one peer at least is to have it, if one is to be heard: this
-        controller may end just after its answer, and the state service with it.
-        """
-        if not self.cancellations.add(job, at, time.time()):
-            return
+    async def _tell_leading(self, job: str, at: float) -> None:
+        """A job is cancelled: the term that this controller leads, if any, is to know."""
         if self.leading is not None:
             await self.leading.cancelled(job, at)
-        for peer in self.links:
-            await self._tell_cancellations(peer)
-        now = await curio.clock()
-        end = now + RECEIPT_REPORTS * self.report_s
-        while now < end and self.fallback.hears_peers(now):
-            if any(self.cancellations.peer_has(peer, job) for peer in self.links):
-                return
-            await curio.ignore_after(end - now, self._receipt.wait)
-            now = await curio.clock()
-
-    async def _tell_cancellations(self, peer: str) -> None:
-        """Send a peer what it lacks; it acknowledges, or is told again by the next ping."""
-        news = self.cancellations.news(peer)
-        link = self.links.get(peer)
-        if news is not None and link is not None:
-            await link.send(encode(("cancelled", self.name, self.cancellations.boot, *news)))
-
-    async def _hear_cancellations(self, message: tuple[Any, ...]) -> None:
-        _, peer, boot, after, upto, entries = message
-        fresh = self.cancellations.receive(
-            str(peer), str(boot), int(after), int(upto), entries, time.time()
-        )
-        for job, at in fresh:
-            if self.leading is not None:
-                await self.leading.cancelled(job, at)
-        link = self.links.get(str(peer))
-        if link is not None:
-            receipt = self.cancellations.receipts()[str(peer)]
-            await link.send(encode(("receipt", self.name, *receipt)))
-
-    async def _hear_receipt(self, peer: str, boot: str, upto: int) -> None:
-        lacks = self.cancellations.acknowledged(peer, boot, upto)
-        passed, self._receipt = self._receipt, curio.Event()
-        await passed.set()
-        if lacks:
-            await self._tell_cancellations(peer)
 
     # -- work accepted here ----------------------------------------------------
 
@@ -610,10 +574,10 @@
                 if self.leadership.learn(str(leader), int(term)):
                     await self._depose("a peer follows a later leader")
         elif tag == "cancelled":
-            await self._hear_cancellations(message)
+            await self.cancellation_exchange.hear_news(message)
         elif tag == "receipt":
             _, peer, boot, upto = message
-            await self._hear_receipt(str(peer), str(boot), int(upto))
+            await self.cancellation_exchange.hear_receipt(str(peer), str(boot), int(upto))
         elif tag == "placed":
             _, term, items = message
             if self.leading is None or not self.leading.loaded:
@@ -637,7 +601,7 @@
             if self.leading is not None:
                 self.leading.tell_anew()
         of_boot, upto = receipts.get(self.name, ("", -1))
-        await self._hear_receipt(peer, str(of_boot), int(upto))
+        await self.cancellation_exchange.hear_receipt(peer, str(of_boot), int(upto))
 
     async def _resign_loop(self) -> None:
         """A leader that hardly hears any worker, while others do, makes room."""
--- a/topazhold/control/relay.py
+++ b/topazhold/control/relay.py
@@ -25,7 +25,7 @@
 
 
 def _news(rep: Report) -> bool:
-    return any(task_name.state == wire.ENDED for task_name in rep.tasks)
+    return any(task.state == wire.ENDED for task in rep.tasks)
 
 
 class IsolatedNode:
--- a/topazhold/core/cancellations.py
+++ b/topazhold/core/cancellations.py
@@ -77,18 +77,14 @@
         if not self._entries:
             return []
         return [
-            task_name
-            for task_name in tasks
-            if task_name.state != wire.ENDED
-            and task_name.task_name.partition("/")[0] in self._entries
+            task
+            for task in tasks
+            if task.state != wire.ENDED and task.task_name.partition("/")[0] in self._entries
         ]
 
     def kills(self, rep: Report) -> list[Command]:
         """Kills, with the attempts that the report names; they need no knowledge of the jobs."""
-        return [
-            wire.kill(task_name.task_name, task_name.attempt, 0.0)
-            for task_name in self.shown(rep.tasks)
-        ]
+        return [wire.kill(task.task_name, task.attempt, 0.0) for task in self.shown(rep.tasks)]
 
     # -- peers ---------------------------------------------------------------
 
--- a/topazhold/core/observing.py
+++ b/topazhold/core/observing.py
@@ -32,28 +32,28 @@
 class Observing(Stopping):
     """What reports and lists say, and what they prove."""
 
-    def listed(self, machine_names: Iterable[ListedMachine], asked_at: float, now: float) -> None:
+    def listed(self, listed_machines: Iterable[ListedMachine], asked_at: float, now: float) -> None:
         """A whole machine list, asked for at `asked_at`."""
         names = set()
-        for machine_name in machine_names:
-            if machine_name.id in self._gone:
+        for item in listed_machines:
+            if item.id in self._gone:
                 continue
-            names.add(machine_name.id)
-            machine = self.machines.get(machine_name.id)
+            names.add(item.id)
+            machine = self.machines.get(item.id)
             if machine is None:
                 machine = self.add_machine(
-                    machine_name.id,
-                    machine_name.zone,
-                    machine_name.spot,
-                    machine_name.machine_type,
+                    item.id,
+                    item.zone,
+                    item.spot,
+                    item.machine_type,
                     now,
                 )
-                machine.rented_at = now - machine_name.age_s
+                machine.rented_at = now - item.age_s
             machine.unconfirmed = False
             if machine.endpoint is None:
-                machine.endpoint = machine_name.endpoint
+                machine.endpoint = item.endpoint
             machine.unlisted = 0
-            if machine_name.state == wire.LISTED_FAILED:
+            if item.state == wire.LISTED_FAILED:
                 self.release(machine, "failed", now)
         for machine in list(self.machines.values()):
             if machine.name in names or now - machine.rented_at < 4 * self.lag_s:
@@ -159,19 +159,19 @@
     ) -> None:
         seen: set[tuple[str, int]] = set()
         strays: dict[tuple[str, int], str] = {}
-        for task_name in rep.tasks:
-            key = wire.split_task_name(task_name.task_name)
+        for task in rep.tasks:
+            key = wire.split_task_name(task.task_name)
             if key is None:
                 continue
             run = machine.runs.get(key)
-            if run is not None and run.attempt == task_name.attempt:
+            if run is not None and run.attempt == task.attempt:
                 seen.add(key)
-                self._observe(machine, run, task_name, now)
-            elif task_name.state == wire.ENDED:
-                if task_name.cause == wire.CAUSE_DONE:
+                self._observe(machine, run, task, now)
+            elif task.state == wire.ENDED:
+                if task.cause == wire.CAUSE_DONE:
                     self._credit(key, now)
             else:
-                self._stray(machine, key, task_name, strays, now)
+                self._stray(machine, key, task, strays, now)
         machine.strays = strays
         lost = False
         for key, run in list(machine.runs.items()):
@@ -182,16 +182,16 @@
             if machine.lost_commands >= LOST_COMMANDS:
                 self._deafen(machine, "launches don't arrive", now)
 
-    def _observe(self, machine: Machine, run: Run, task_name: TaskReport, now: float) -> None:
-        if task_name.state == wire.ENDED:
-            self._ended(machine, run, task_name, now)
+    def _observe(self, machine: Machine, run: Run, task: TaskReport, now: float) -> None:
+        if task.state == wire.ENDED:
+            self._ended(machine, run, task, now)
             return
         if run.state is RunState.INTENDED:
             return
         if run.state is RunState.ORDERED and not run.unsure:
             machine.hears_again()
         before = run.state
-        run.observe(task_name.state, now)
+        run.observe(task.state, now)
         machine.changes += run.state is not before
         if run.state in (RunState.GATHERING, RunState.RUNNING):
             spec = run.job.spec
@@ -219,35 +219,35 @@
         self,
         machine: Machine,
         key: tuple[str, int],
-        task_name: TaskReport,
+        task: TaskReport,
         strays: dict[tuple[str, int], str],
         now: float,
     ) -> None:
         """A task that no intent of ours explains: it must go, and counts till then."""
         job = self.jobs.get(key[0])
         if job is not None and key[1] < job.spec.tasks and key[1] not in job.runs:
-            run = Run(job, key[1], task_name.attempt, machine.name, now)
+            run = Run(job, key[1], task.attempt, machine.name, now)
             run.state = RunState.ORDERED
-            run.observe(task_name.state, now)
+            run.observe(task.state, now)
             self._attach(run)
             self._stop_run(run, 0.0, "unexpected", now)
             if job.gang and job.state is JobState.LIVE:
                 self._stop_gang(job, 0.0, "unexpected task", now)
             return
-        strays[(task_name.task_name, task_name.attempt)] = task_name.state
+        strays[(task.task_name, task.attempt)] = task.state
         self.to_command.add(machine.name)
 
-    def _ended(self, machine: Machine, run: Run, task_name: TaskReport, now: float) -> None:
+    def _ended(self, machine: Machine, run: Run, task: TaskReport, now: float) -> None:
         job = run.job
-        cause = task_name.cause or ""
-        run.end(cause, bool(task_name.kept), now)
+        cause = task.cause or ""
+        run.end(cause, bool(task.kept), now)
         log.info(
             "task %s try %d on %s ended: %s%s",
             run.task_name,
             run.attempt,
             machine.name,
             cause,
-            " (saved)" if task_name.kept else "",
+            " (saved)" if task.kept else "",
         )
         spec = job.spec
         if cause == wire.CAUSE_DONE:
--- a/topazhold/core/offering.py
+++ b/topazhold/core/offering.py
@@ -7,7 +7,7 @@
 from topazhold.core.ledger import NO_ROOM
 from topazhold.core.machines import Machine, MachineState, plus
 from topazhold.core.observing import Observing
-from topazhold.core.search import Offer, Rank
+from topazhold.core.search import PRESSING, Offer, Rank
 from topazhold.wire import messages as wire
 
 #: How old the offer of a machine may be on which nothing changed, in report periods.
@@ -97,18 +97,30 @@
             _, room, longest = kinds.get(kind, (job, NO_ROOM, 0.0))
             kinds[kind] = (job, plus(room, job.need), max(longest, seal))
         found = []
-        for outside in (0, 1) if kinds else ():
-            for level in range(len(wire.URGENCIES)):
-                room = NO_ROOM
-                delay = 0.0
-                for job, of_kind, seal in kinds.values():
-                    if preemption.behind((outside, level), job):
-                        room = plus(room, of_kind)
-                        delay = max(delay, seal)
-                if room != NO_ROOM:
-                    found.append(((outside, level), self.report_s + delay, room))
+        for level in range(len(wire.URGENCIES)) if kinds else ():
+            within, outside, pressing = (
+                self._behind((first, level), list(kinds.values())) for first in (0, 1, PRESSING)
+            )
+            if within[1] != NO_ROOM:
+                found.append(((0, level), *within))
+            if outside[1] != NO_ROOM:
+                found.append(((1, level), *outside))
+            if pressing[1] != within[1]:
+                # Work that only a guarantee might stop: a pressing gang that counted on it
+                # waited for it for good, beside an empty machine.
+                found.append(((PRESSING, level), *pressing))
         return found
 
+    def _behind(self, rank: Rank, kinds: list[tuple[Job, Room, float]]) -> tuple[float, Room]:
+        """When, and how much, work of a rank could take from work behind it."""
+        room = NO_ROOM
+        delay = 0.0
+        for job, of_kind, seal in kinds:
+            if preemption.behind(rank, job):
+                room = plus(room, of_kind)
+                delay = max(delay, seal)
+        return self.report_s + delay, room
+
     @staticmethod
     def _boot_s(machine: Machine) -> float:
         """The usual boot time of the machine's type."""
--- a/topazhold/core/ordering.py
+++ b/topazhold/core/ordering.py
@@ -49,11 +49,11 @@
         regular report.
         """
         commands = []
-        for task_name in rep.tasks:
-            if task_name.state != wire.ENDED:
+        for task in rep.tasks:
+            if task.state != wire.ENDED:
                 continue
-            if task_name.cause == wire.CAUSE_DONE:
-                key = wire.split_task_name(task_name.task_name)
+            if task.cause == wire.CAUSE_DONE:
+                key = wire.split_task_name(task.task_name)
                 job = self.jobs.get(key[0]) if key else None
                 if (
                     job is not None
@@ -62,7 +62,7 @@
                     and key[1] // PART in job.unsaved
                 ):
                     continue  # the worker's word is the only record until it is saved
-            commands.append(wire.clear(task_name.task_name, task_name.attempt))
+            commands.append(wire.clear(task.task_name, task.attempt))
         machine.changes += bool(machine.wake_tasks) is not bool(commands)
         machine.wake_tasks = [
             (command.task_name, command.attempt) for command in commands[:MOST_WAKE_TASKS]
--- a/topazhold/core/placements.py
+++ b/topazhold/core/placements.py
@@ -65,16 +65,14 @@
             return
         place.session, place.sequence = rep.session, rep.sequence
         place.jobs = frozenset(
-            task_name.task_name.partition("/")[0]
-            for task_name in rep.tasks
-            if task_name.state != wire.ENDED
+            task.task_name.partition("/")[0] for task in rep.tasks if task.state != wire.ENDED
         )
 
-    def listed(self, machine_names: Iterable[ListedMachine]) -> None:
+    def listed(self, listed_machines: Iterable[ListedMachine]) -> None:
         """The cloud's list: machines that nobody has told of."""
-        for machine_name in machine_names:
-            if machine_name.endpoint is not None:
-                self._place(machine_name.id, machine_name.endpoint)
+        for item in listed_machines:
+            if item.endpoint is not None:
+                self._place(item.id, item.endpoint)
 
     def gone(self, name: str) -> None:
         self.places.pop(name, None)
--- a/topazhold/core/preemption.py
+++ b/topazhold/core/preemption.py
@@ -6,6 +6,7 @@
 from topazhold.core.jobs import GangState, Job, Room, Run, RunState
 from topazhold.core.machines import Machine, fits, plus
 from topazhold.core.quota import Usage
+from topazhold.core.search import PRESSING
 
 
 def rank(job: Job) -> tuple[int, int]:
@@ -29,6 +30,8 @@
 
 def behind(first: tuple[int, int], victim: Job) -> bool:
     """Whether work of rank `first` might stop the victim, teams left aside."""
+    if first[0] == PRESSING:
+        return victim.level > first[1]
     if first >= rank(victim):
         return False
     return victim.level > first[1] or (first[0] == 0 and not victim.within)
--- a/topazhold/core/records.py
+++ b/topazhold/core/records.py
@@ -133,18 +133,18 @@
 
 def on_value(machines: Iterable[Machine], token: str) -> Any:
     """A shard's intents: everything that may be, or may come to be, on its machines."""
-    machine_names = {}
+    intents = {}
     for machine in machines:
         if machine.runs:
             machine_type = machine.machine_type.name if machine.machine_type is not None else ""
-            machine_names[machine.name] = [
+            intents[machine.name] = [
                 machine.session,
                 machine.zone,
                 machine.spot,
                 machine_type,
                 [[run.job.id, run.index, run.attempt] for run in machine.runs.values()],
             ]
-    return {"by": token, "boxes": machine_names}
+    return {"by": token, "boxes": intents}
 
 
 class Intents(NamedTuple):
@@ -162,8 +162,8 @@
     """The machines of a shard, and the names of those that can't be read."""
     found: list[Intents] = []
     unreadable: list[str] = []
-    machine_names = data.get("boxes") if isinstance(data, dict) else None
-    for name, item in machine_names.items() if isinstance(machine_names, dict) else ():
+    boxes = data.get("boxes") if isinstance(data, dict) else None
+    for name, item in boxes.items() if isinstance(boxes, dict) else ():
         try:
             session, zone, spot, machine_type, runs = item
             packed = [(str(job), int(index), int(attempt)) for job, index, attempt in runs]
--- a/topazhold/core/scheduler.py
+++ b/topazhold/core/scheduler.py
@@ -126,26 +126,27 @@
             and not math.isinf(self._patience_leases(machine, now))
         )
 
-    def _wish_for_one_zone(self, found: renting.Wishes, machine_types: list[MachineType]) -> None:
-        """Machines for a gang that presses while its room is there, but in several zones.
+    def _wish_for_zones(
+        self, found: renting.Wishes, machine_types: list[MachineType], now: float
+    ) -> None:
+        """Machines for a job that has waited while its room is there, but in the wrong zones.
 
         What is wished for a zone counts on others' work there to end in time. Beside
         work that ran on for minutes a gang of one zone waited as long, and a machine
-        of another zone stood free.
+        of another zone stood free. The same goes for jobs that may not have all their
+        tasks in one zone.
         """
-        gangs = [
+        waiting = [
             job
             for job in self.jobs.values()
-            if job.gang
-            and job.pressing
-            and job.state is JobState.LIVE
-            and not job.runs
-            and job.spec.same_place
+            if job.state is JobState.LIVE
+            and (job.spec.same_place or job.spec.scatter)
             and job.spec.zone is None
+            and self._waits_long(job, now)
         ]
         # Gangs of one shape find the same room: counted once for all of them.
         counted: dict[object, dict[str, int]] = {}
-        for job in sorted(gangs, key=lambda job: (job.arrived, job.id)):
+        for job in sorted(waiting, key=lambda job: (job.arrived, job.id)):
             machine_type = renting.best_type(job.spec, machine_types)
             if machine_type is None or not self._limit_reachable(job):
                 continue
@@ -154,12 +155,13 @@
             free = counted.get(shape)
             if free is None:
                 free = counted[shape] = self._free_slots(job, machine_type)
-            if max(free.values()) >= job.spec.tasks or sum(free.values()) < job.spec.tasks:
+            short = self._short_zone(job, machine_type.zones, free)
+            if short is None:
                 continue
-            zone = max(machine_type.zones, key=lambda zone: (free[zone], zone))
+            zone, tasks = short
             whole = (machine_type.cpus, machine_type.gpus, machine_type.memory_gb)
             each = times_fits(job.need, whole, job.spec.tasks)
-            more = math.ceil((job.spec.tasks - free[zone]) / each)
+            more = math.ceil(tasks / each)
             spot = (
                 job.spec.spot and self.rent_rules.use_spot and machine_type.spot_price is not None
             )
@@ -172,6 +174,35 @@
             wish.at_least(there + more, zone)
             return  # one at a time
 
+    def _waits_long(self, job: Job, now: float) -> bool:
+        """Whether a gang presses, or a service has lacked replicas for longer than others."""
+        if job.gang:
+            return job.pressing and not job.runs
+        return job.service and job.waiting_count > 0 and now - job.arrived > self.lease_s
+
+    def _short_zone(
+        self, job: Job, zones: list[str], free: dict[str, int]
+    ) -> tuple[str, int] | None:
+        """A zone in which room for so many more tasks would let the job run, if zones alone
+        are in the way."""
+        wanted = job.waiting_count
+        if sum(free.values()) < wanted:
+            return None
+        if job.spec.same_place:
+            zone = max(zones, key=lambda zone: (free[zone], zone))
+            return (zone, wanted - free[zone]) if free[zone] < wanted else None
+        most = (job.spec.tasks + 1) // 2
+        there = job.zones_used(self.zone_of)
+        allowed_more = {zone: max(0, most - there.get(zone, 0)) for zone in zones}
+        missing = wanted - sum(min(free[zone], allowed_more[zone]) for zone in zones)
+        if missing <= 0:
+            return None
+        open_zones = [zone for zone in zones if free[zone] < allowed_more[zone]]
+        if not open_zones:
+            return None
+        zone = min(open_zones, key=lambda zone: (free[zone], zone))
+        return zone, min(missing, allowed_more[zone] - free[zone])
+
     def _free_slots(self, job: Job, machine_type: MachineType) -> dict[str, int]:
         """Zone by zone, how many tasks of a job the machines have room for now or soon."""
         free: dict[str, int] = dict.fromkeys(machine_type.zones, 0)
@@ -197,7 +228,7 @@
             self.rent_rules,
             growing,
         )
-        self._wish_for_one_zone(found, machine_types)
+        self._wish_for_zones(found, machine_types, now)
         self._lower = {}
         held = {
             name for hold in self.hold_table.all() if self._binding(hold) for name in hold.slots
--- a/topazhold/core/search.py
+++ b/topazhold/core/search.py
@@ -22,6 +22,9 @@
 
 #: (outside its guarantee, urgency): smaller goes first.
 Rank = tuple[int, int]
+#: In place of the first: a gang that presses. It goes first like work within its guarantee,
+#: but others are stopped for it by their urgency alone.
+PRESSING = 2
 
 #: What breaking into an empty machine costs, in full preferences.
 BREAK_PREFERENCE = 1.5
@@ -69,14 +72,21 @@
         """Room over time for work of a rank, less what others hold."""
         rungs = list(self.rungs)
         if rungs:
-            for of_rank, delay, room in self.evictable:
-                if of_rank == rank:
-                    rungs.append((delay, plus(rungs[0][1], room)))
+            for delay, room in self._evictable_for(rank):
+                rungs.append((delay, plus(rungs[0][1], room)))
         if held is not None:
             rungs = [(delay, plus(room, held, -1.0)) for delay, room in rungs]
         rungs.sort(key=lambda rung: rung[0])
         return rungs
 
+    def _evictable_for(self, rank: Rank) -> list[tuple[float, Room]]:
+        """What work of a rank may take from others; a pressing gang has its own entry only
+        where it may take less than work within its guarantee."""
+        found = [(delay, room) for of_rank, delay, room in self.evictable if of_rank == rank]
+        if not found and rank[0] == PRESSING:
+            return self._evictable_for((0, rank[1]))
+        return found
+
     def full(self, held: Mapping[str, Room]) -> bool:
         """Whether holds keep all that will ever be free here."""
         if not self.rungs:
