What is bound to a zone that is full is not rented in another zone

While the cloud refused zone a, the machines that its work needs were asked for in zone b; they were given back idle, and the room of each was taken by the next request for zone b before zone a was asked again. Change: work that is bound to a zone is not made up for in other zones.

--- a/topazhold/core/renting.py
+++ b/topazhold/core/renting.py
@@ -13,6 +13,8 @@
 
 #: Most machines that the cloud gives at one request.
 MOST_RENTED = 50
+#: Most machines that the cloud takes back at one request.
+MOST_RELEASED = 100
 #: Share of the usual patience with idle machines when no jobs come any more.
 IDLE_WHEN_QUIET = 0.2
 
@@ -78,18 +80,23 @@
 
 
 class Wish:
-    """Machines wanted of one type and kind: anywhere, and in given zones at least."""
+    """Machines wanted of one type and kind: anywhere, and in given zones at least.
 
-    __slots__ = ("total", "zones")
+    What is `bound` to a zone is of no use in any other.
+    """
+
+    __slots__ = ("total", "zones", "bound")
 
     def __init__(self) -> None:
         self.total = 0.0
         self.zones: dict[str, float] = {}
+        self.bound: dict[str, float] = {}
 
     def add(self, machines: float, zone: str | None) -> None:
         self.total += machines
         if zone is not None:
             self.zones[zone] = self.zones.get(zone, 0.0) + machines
+            self.bound[zone] = self.bound.get(zone, 0.0) + machines
 
     def at_least(self, machines: float, zone: str) -> None:
         """A zone must be able to take so much at once; others may use it in turn."""
@@ -99,6 +106,8 @@
         self.total *= factor
         for zone in self.zones:
             self.zones[zone] *= factor
+        for zone in self.bound:
+            self.bound[zone] *= factor
 
 
 #: Wishes by type and kind (True: spot).
@@ -209,13 +218,16 @@
     # Ordinary machines beyond their own wish serve spot work too.
     spare = max(0, fleet.count(False) - math.ceil(plain.total))
     asks, missing, missing_zones = _ask(
-        machine_type, True, math.ceil(cheap.total) - spare, cheap.zones, fleet, refusals, now
+        machine_type, True, math.ceil(cheap.total) - spare, cheap, fleet, refusals, now
     )
-    zones = dict(plain.zones)
+    both = Wish()
+    both.zones, both.bound = dict(plain.zones), dict(plain.bound)
     for zone, number in missing_zones.items():
-        zones[zone] = zones.get(zone, 0.0) + number
+        both.zones[zone] = both.zones.get(zone, 0.0) + number
+        short = math.ceil(cheap.bound.get(zone, 0.0)) - fleet.zones.get((zone, True), 0)
+        both.bound[zone] = both.bound.get(zone, 0.0) + max(0, min(number, short))
     more, _, _ = _ask(
-        machine_type, False, math.ceil(plain.total) + missing, zones, fleet, refusals, now
+        machine_type, False, math.ceil(plain.total) + missing, both, fleet, refusals, now
     )
     return asks + more
 
@@ -224,18 +236,22 @@
     machine_type: MachineType,
     spot: bool,
     total: int,
-    zones: dict[str, float],
+    wish: Wish,
     fleet: Fleet,
     refusals: Refusals,
     now: float,
 ) -> tuple[list[Ask], int, dict[str, int]]:
-    """Requests of one kind, and what can't be asked for: in all, and by zone."""
+    """Requests of one kind, and what can't be asked for: in all, and by zone.
+
+    What is bound to a zone that has none now is not asked for elsewhere: a machine there
+    was given back idle, and its room in the cloud taken again before the zone's turn came.
+    """
     usable = [
         zone for zone in machine_type.zones if refusals.open(machine_type.name, zone, spot, now)
     ]
     counts = dict.fromkeys(usable, 0)
     missing_zones: dict[str, int] = {}
-    for zone, number in zones.items():
+    for zone, number in wish.zones.items():
         short = math.ceil(number) - fleet.zones.get((zone, spot), 0)
         if short > 0 and zone in counts:
             counts[zone] = min(short, MOST_RENTED)
@@ -243,6 +259,11 @@
             missing_zones[zone] = short
     short = total - fleet.count(spot) - sum(counts.values())
     if usable:
+        short -= sum(
+            max(0, math.ceil(number) - fleet.zones.get((zone, spot), 0))
+            for zone, number in wish.bound.items()
+            if zone not in counts
+        )
         for _ in range(min(short, MOST_RENTED)):
             zone = min(
                 usable, key=lambda zone: (fleet.zones.get((zone, spot), 0) + counts[zone], zone)
