Orders to the cloud are recorded before they are sent, and taken over by a successor

Need: the cloud has no fencing token. A leader that was paused, or a request that the network held back, took machines away from its successor; a rental without an answer was found by the machine list only; done marks of large jobs were left behind when a leader ended. Change: package topazhold/duties/. Returns, rentals and clean-ups are orders with named states, recorded under the leadership guard, completed by whoever leads next, one return a machine. A holder that was paused, or whose lease is near its end, looks the leadership up first. Machines of cancelled tasks still go without a record; all controllers are told of them then.

--- /dev/null
+++ b/tests/cloud_history.py
@@ -0,0 +1,81 @@
+"""What the cloud was ordered to do, against what was recorded before."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from topazhold.core.leadership import LEADER_KEY
+from topazhold.duties.records import RENTAL_PREFIX, RETURN_PREFIX
+
+#: An answer with a launch may be carried out so long after it was made.
+IN_FLIGHT_S = 5.0
+
+
+@dataclass(frozen=True)
+class Executed:
+    """An order of which something came."""
+
+    at: float
+    source: str
+    holder: str | None  # who held the duties at that moment
+    names: list[str] = field(default_factory=list)
+
+    @property
+    def stale(self) -> bool:
+        return self.source != self.holder
+
+
+class CloudHistory:
+    """Judges every order that has an effect; `judges` is off where old versions lead."""
+
+    def __init__(self, world: Any) -> None:
+        self._world = world
+        self.judges = True
+        self.returns: dict[str, tuple[str, float]] = {}  # machine -> record, since when
+        self.rentals: set[str] = set()  # names of recorded requests
+        self.executed: list[Executed] = []
+        self.forced: list[str] = []  # released without a record
+
+    def stored(self, key: str, data: Any) -> None:
+        """A value was written to the state service."""
+        if key.startswith(RENTAL_PREFIX):
+            self.rentals.add(data["request"])
+        elif key.startswith(RETURN_PREFIX):
+            for name in data["machines"]:
+                before, _ = self.returns.setdefault(name, (key, self._world.clock.now))
+                if before != key:
+                    self._violate("returned_twice", f"{name} by {before} and {key}")
+
+    def _violate(self, rule: str, text: str) -> None:
+        if self.judges:
+            self._world.violate(rule, text)
+
+    def _execute(self, source: str, names: list[str]) -> None:
+        value = self._world.state.data.get(LEADER_KEY)
+        holder = value[0]["node"] if value is not None else None
+        self.executed.append(Executed(self._world.clock.now, source, holder, names))
+
+    def released(self, source: str, workers: list[Any]) -> None:
+        """Machines are about to go that were there."""
+        if not workers:
+            return
+        self._execute(source, [worker.name for worker in workers])
+        for worker in workers:
+            if worker.name in self.returns:
+                continue
+            self.forced.append(worker.name)
+            if not worker.hosted & self._world.cancel_asked:
+                self._violate("unrecorded_return", f"{worker.name} by {source}")
+
+    def rented(self, source: str, request: str, names: list[str]) -> None:
+        """Machines were rented by a request that was not carried out before."""
+        self._execute(source, names)
+        if request not in self.rentals:
+            self._violate("unrecorded_rental", f"{request} by {source}")
+
+    def launched(self, worker: Any, task_name: str) -> None:
+        """A task comes to a machine, which may have been given up by then."""
+        record = self.returns.get(worker.name)
+        if record is not None and self._world.clock.now - record[1] > IN_FLIGHT_S:
+            self._violate("placed_on_returned", f"{task_name} on {worker.name}, {record[0]}")
--- a/tests/test_random_days.py
+++ b/tests/test_random_days.py
@@ -55,6 +55,9 @@
     (27, ["refused_then_down", "crash_all", "machine_cut", "late_copies"]),
     (28, ["slow", "slow", "crash_leader", "hang"]),
     (29, ["slow", "refused_then_down", "late_copies", "roll"]),
+    (30, ["cloud_held", "freeze_leader", "crash_leader", "taken"]),
+    (31, ["cloud_held", "state_slow", "late_writes", "crash_election", "leader_refused"]),
+    (32, ["cloud_held", "cloud_down", "freeze_leader", "refused_then_down", "notice"]),
     (15, ["leader_off_all_but_workers", "crash_election", "blink", "late_copies"]),
 ]
 
--- a/topazhold/control/cloud.py
+++ b/topazhold/control/cloud.py
@@ -12,8 +12,7 @@
 from topazhold.wire.codec import BadMessage, read
 from topazhold.wire.messages import ListedMachine, MachineType
 
-#: Most names in a release, most machines in a page of the list.
-MOST_RELEASED = 100
+#: Most machines in a page of the list.
 PAGE = 500
 
 
@@ -21,6 +20,10 @@
     """No use could be made of the cloud just now."""
 
 
+class RequestRefused(CloudDown):
+    """The cloud calls the request malformed; it need not be repeated."""
+
+
 class NoCapacity(Exception):
     """Nothing to rent of that type, zone and kind."""
 
@@ -57,6 +60,8 @@
         status, answer = await self._ask("POST", wire.MACHINES_PATH, body)
         if status == 503 and b"no capacity" in answer:
             raise NoCapacity
+        if status == 400:
+            raise RequestRefused(f"status {status}")
         if status != 200:
             raise CloudDown(f"status {status}")
         try:
--- a/topazhold/control/enforcing.py
+++ b/topazhold/control/enforcing.py
@@ -11,13 +11,14 @@
 
 import logging
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import curio
 
-from topazhold.control.cloud import MOST_RELEASED, Cloud, CloudDown
+from topazhold.control.cloud import Cloud, CloudDown
 from topazhold.core.cancellations import Cancellations
 from topazhold.core.placements import Place, Placements
+from topazhold.core.renting import MOST_RELEASED
 from topazhold.io.client import Client, Clients
 from topazhold.io.http import NoAnswer, NotSent
 from topazhold.settings import Settings, address
@@ -57,6 +58,7 @@
         cloud: Cloud,
         dial: Callable[[tuple[str, int], int], Client],
         seen_to: Callable[[str, float], bool],
+        tell_released: Callable[[list[str]], Awaitable[None]],
     ) -> None:
         workers = settings.cluster.workers
         self._cancel_s = workers.cancel_s
@@ -65,6 +67,7 @@
         self._placements = placements
         self._cloud = cloud
         self._seen_to = seen_to  # whether a leader that has loaded knows the cancellation
+        self._tell_released = tell_released
         self._most = max(4, int(settings.cluster.limits.sockets * LOOKING_SHARE))
         self._looking: set[str] = set()
         self._clients = Clients(dial, self._most)
@@ -189,5 +192,6 @@
         else:
             for name in names:
                 self._placements.gone(name)
+            await self._tell_released(names)
         finally:
             self._releasing = False
--- a/topazhold/control/leading.py
+++ b/topazhold/control/leading.py
@@ -13,7 +13,6 @@
 from topazhold.control.booking import View
 from topazhold.control.cloud import Cloud
 from topazhold.control.direct_commands import DirectCommands
-from topazhold.control.fleet_manager import FleetManager
 from topazhold.control.intents import Intents
 from topazhold.control.saving import Saving
 from topazhold.control.store import DECISIONS, TROUBLE, Store, WatchLost
@@ -26,6 +25,9 @@
 from topazhold.core.jobs import Job, JobState
 from topazhold.core.machines import Machine
 from topazhold.core.scheduler import Scheduler
+from topazhold.duties.inheritance import read_entries
+from topazhold.duties.released import ReleasedMachines
+from topazhold.duties.term_duties import TermDuties
 from topazhold.io.account import Account, Duty
 from topazhold.io.client import Client
 from topazhold.settings import Operator, Settings
@@ -66,6 +68,9 @@
         assured: Callable[[float], bool],
         cancellations: Cancellations,
         account: Account,
+        grant_s: float,
+        released: ReleasedMachines,
+        tell_released: Callable[[list[str]], Awaitable[None]],
     ) -> None:
         self._account = account
         self.term = term
@@ -78,7 +83,10 @@
         )
         self._intents = Intents(context)
         self.saving = Saving(context)
-        self._fleet_manager = FleetManager(context, cloud, self._intents)
+        self._released = released
+        self.duties = TermDuties(
+            context, cloud, self._intents, settings, operator, grant_s, now, tell_released
+        )
         self._direct_commands = DirectCommands(
             context, settings.cluster.limits.sockets, dial, self._hear_direct
         )
@@ -93,11 +101,13 @@
         start = await curio.clock()
         while True:
             try:
+                orders = await read_entries(self.context)
                 self._seen_revisions = await load(self.context, self._machine_types)
                 break
             except TROUBLE as exc:
                 log.debug("take-over waits: %s", exc)
                 await curio.sleep(self.context.retry_s)
+        await self.duties.take_over(orders, self._released.names())
         now = await curio.clock()
         log.info(
             "leader %s term %d took over in %.2f s: %d jobs, %d machines",
@@ -121,12 +131,11 @@
                 (Duty.STATE, self._watch_relays),
                 (Duty.STATE, self.saving.loop),
                 (Duty.SUMMARIES, self._summaries.loop),
-                (Duty.CLOUD, self._fleet_manager.list_loop),
-                (Duty.CLOUD, self._fleet_manager.rent_loop),
-                (Duty.CLOUD, self._fleet_manager.release_loop),
+                *((Duty.CLOUD, loop) for loop in self.duties.loops()),
             ):
                 await group.spawn(self._run_loop, duty, loop)
         await self._direct_commands.close()
+        self.duties.log_totals()
         if group.exception is not None:
             raise group.exception
 
@@ -140,6 +149,11 @@
         """The fleet for this node's own searches, fresh."""
         return self._summaries.view(now)
 
+    async def released(self, machines: list[str]) -> None:
+        """Another controller's release of these machines was answered."""
+        if self.loaded:
+            await self.duties.returning.released_by_peer(machines, await curio.clock())
+
     async def cancelled(self, job_id: str, at: float) -> None:
         """A user was told that the job is cancelled, by this controller or a peer."""
         if self.loaded:
--- /dev/null
+++ b/topazhold/control/machine_list.py
@@ -0,0 +1,38 @@
+"""The cloud's machine list, read again and again while a term lasts."""
+
+from __future__ import annotations
+
+import logging
+
+import curio
+
+from topazhold.control.cloud import Cloud, CloudDown
+from topazhold.control.term_context import TermContext
+
+log = logging.getLogger(__name__)
+
+#: Pause between two lists, as a share of how late a list may be.
+LIST_LAGS = 0.5
+
+
+class MachineList:
+    """Tells the scheduler what the cloud lists."""
+
+    def __init__(self, context: TermContext, cloud: Cloud) -> None:
+        self._context = context
+        self._cloud = cloud
+        self.listed = curio.Event()  # a list has come in this term
+
+    async def loop(self) -> None:
+        """Read the list, again and again."""
+        scheduler = self._context.scheduler
+        while True:
+            asked = await curio.clock()
+            try:
+                listed = await self._cloud.machines()
+            except CloudDown as exc:
+                log.debug("machine list: %s", exc)
+            else:
+                scheduler.listed(listed, asked, await curio.clock())
+                await self.listed.set()
+            await curio.sleep(max(self._context.report_s, LIST_LAGS * scheduler.lag_s))
--- a/topazhold/control/node.py
+++ b/topazhold/control/node.py
@@ -32,6 +32,7 @@
 from topazhold.core.leadership import LEADER_KEY, TERM_KEY, Leadership, Role, read_value
 from topazhold.core.placements import Placements
 from topazhold.core.search import pack_names, unpack_names
+from topazhold.duties.released import RELEASED, Released, ReleasedMachines, released_message
 from topazhold.io.account import Account, Duty
 from topazhold.io.client import Client
 from topazhold.io.http import Answer, Request
@@ -116,8 +117,15 @@
             f"{self.name}-{time.time_ns():x}", workers.cancel_s, workers.lease_s
         )
         self.placements = Placements()
+        self.released = ReleasedMachines()
         self.enforcer = Enforcer(
-            settings, self.cancellations, self.placements, self.cloud, dial, self._seen_to
+            settings,
+            self.cancellations,
+            self.placements,
+            self.cloud,
+            dial,
+            self._seen_to,
+            self._tell_released,
         )
         self._leader_loaded: tuple[str, float] = ("", -1e9)  # whose ping said so, when
         self._peer_boots: dict[str, str] = {}
@@ -476,6 +484,9 @@
             lambda now: now < self.valid_until,
             self.cancellations,
             self.account,
+            self.grant_s,
+            self.released,
+            self._tell_released,
         )
         await self._election.set()
         await self._ping()
@@ -578,6 +589,8 @@
         elif tag == "receipt":
             _, peer, boot, upto = message
             await self.cancellation_exchange.hear_receipt(str(peer), str(boot), int(upto))
+        elif tag == RELEASED:
+            await self._hear_released(Released(*message).machines)
         elif tag == "placed":
             _, term, items = message
             if self.leading is None or not self.leading.loaded:
@@ -591,6 +604,19 @@
             if int(term) >= self.leadership.term and self.leading is None:
                 self.gang_search.read_summary(values, await curio.clock())
 
+    async def _tell_released(self, machines: list[str]) -> None:
+        """The cloud has confirmed a release that is not recorded: the others must know."""
+        await self._tell(released_message(self.name, machines))
+        await self._hear_released(machines)
+
+    async def _hear_released(self, machines: list[str]) -> None:
+        names = [str(name) for name in machines]
+        self.released.add(names)
+        for name in names:
+            self.placements.gone(name)
+        if self.leading is not None:
+            await self.leading.released(names)
+
     async def _level(self, peer: str, record: Any, receipts: Any) -> None:
         """Compare the records of cancellations with a peer's."""
         boot, last, informed = record
--- a/topazhold/control/saving.py
+++ b/topazhold/control/saving.py
@@ -75,7 +75,7 @@
                 continue
             now = await curio.clock()
             self._context.scheduler.job_over(job.id, True, now, now)
-            await self._context.drop_parts(job)
+            self._context.clean_up(job)
 
     async def save(self, job: Job, now: float) -> None:
         """Save done marks; the workers' own record is cleared only after."""
--- a/topazhold/control/term_context.py
+++ b/topazhold/control/term_context.py
@@ -11,7 +11,7 @@
 
 import curio
 
-from topazhold.control.store import DECISIONS, TROUBLE, Conflict, Store
+from topazhold.control.store import DECISIONS, TROUBLE, Store
 from topazhold.core import records
 from topazhold.core.cancellations import Cancellations
 from topazhold.core.intent_shards import IntentShards
@@ -68,6 +68,8 @@
         self.shards = IntentShards(self.value_limit)
         self.wake = curio.Event()
         self.commands_due = curio.Event()  # set where direct commands should not wait
+        #: Told of each job that is over, so that what it left is removed.
+        self.clean_up: Callable[[Job], None] = lambda job: None
         self._sequence = 0
 
     def token(self) -> str:
@@ -133,7 +135,7 @@
         if job is not None and job.state is JobState.LIVE and not job.complete:
             at = self.cancellations.at(job_id)
             await self.cancelled(job_id, time.time() if at is None else at)
-            await self.drop_parts(job)
+            self.clean_up(job)
             return
         try:
             entry = await self.store.get(records.over_key(job_id), DECISIONS)
@@ -147,15 +149,4 @@
             at = now - max(0.0, time.time() - float(entry.data.get("at", time.time())))
         self.scheduler.job_over(job_id, done, at, now)
         if job is not None:
-            await self.drop_parts(job)
-
-    async def drop_parts(self, job: Job) -> None:
-        """Done marks of a large job that is over are of no use any more."""
-        keys = [records.part_key(job.id, part) for part in range(1, records.parts_of(job))]
-        for start in range(0, len(keys), self.txn_ops):
-            drops = [wire.drop(key) for key in keys[start : start + self.txn_ops]]
-            try:
-                await self.store.multi(self.conditions(), drops, DECISIONS)
-            except (*TROUBLE, Conflict) as exc:
-                log.debug("parts of %s stay: %s", job.id, exc)
-                return
+            self.clean_up(job)
--- a/topazhold/core/ledger.py
+++ b/topazhold/core/ledger.py
@@ -171,6 +171,14 @@
             self._fleet_changed()
         return machine
 
+    def add_rented(self, name: str, zone: str, spot: bool, machine_type: str, now: float) -> None:
+        """The cloud names a machine in its answer to a rental.
+
+        The rental may have been asked for again, and the machine may be gone by now.
+        """
+        if name not in self._gone:
+            self.add_machine(name, zone, spot, machine_type, now)
+
     def machine_gone(self, name: str, now: float) -> None:
         """A release was answered 200: the machine and all on it are gone."""
         machine = self.machines.get(name)
--- /dev/null
+++ b/topazhold/duties/cleaning.py
@@ -0,0 +1,107 @@
+"""The duty of cleaning up: done marks of large jobs that are over.
+
+They may take several transactions to remove. Then the job and its parts are recorded first, so
+that a successor goes on where this holder ended. What a user's cancellation left behind while
+nobody led is found by a look at all parts when a term begins.
+"""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections.abc import Awaitable, Callable
+
+import curio
+
+from topazhold.control.store import TROUBLE, USERS, Conflict
+from topazhold.control.term_context import Deposed, TermContext
+from topazhold.core import records
+from topazhold.core.jobs import Job
+from topazhold.core.leadership import LEADER_KEY
+from topazhold.duties.holder import DutyHolder
+from topazhold.duties.orders import CleanupOrder, OrderState
+from topazhold.wire import messages as wire
+
+log = logging.getLogger(__name__)
+
+
+#: States of an order that is not carried out yet.
+OPEN = (OrderState.DECIDED, OrderState.RECORDED, OrderState.SENT)
+
+
+class CleanupDuty:
+    """Removes what jobs that are over have left in the state service."""
+
+    def __init__(self, context: TermContext, holder: DutyHolder) -> None:
+        self._context = context
+        self._holder = holder
+        self._swept = False
+
+    def job_over(self, job: Job) -> None:
+        """A job is over; its parts, if it has any, are of no use any more."""
+        self._decide(job.id, range(1, records.parts_of(job)))
+
+    def _decide(self, job_id: str, parts: range | list[int]) -> None:
+        if not parts or any(
+            order.record.job == job_id for order in self._holder.book.of_kind(CleanupOrder, *OPEN)
+        ):
+            return
+        order = self._holder.book.decide_cleanup(job_id, parts, time.time())
+        if len(parts) < self._context.txn_ops and order.state is OrderState.DECIDED:
+            order.waive_record()  # one transaction is whole by itself
+
+    async def loop(self) -> None:
+        """Clean up, again and again."""
+        while True:
+            await curio.sleep(self._context.report_s)
+            if not self._swept:
+                self._swept = await self._attempt(self._sweep)
+            if self._holder.book.of_kind(CleanupOrder, *OPEN) and await self._holder.may_act():
+                await self._holder.record()
+                await self._attempt(self._remove_all)
+
+    async def _attempt(self, work: Callable[[], Awaitable[None]]) -> bool:
+        """Whether the state service let the work be done."""
+        try:
+            await work()
+        except Conflict as exc:
+            if LEADER_KEY in exc.keys:
+                raise Deposed("the leadership mark has changed") from None
+            log.error("clean-up met a live job: %s", exc)
+            return False
+        except TROUBLE as exc:
+            log.debug("clean-up waits: %s", exc)
+            return False
+        return True
+
+    async def _sweep(self) -> None:
+        """Find parts of jobs that are not live, and that nobody has seen to."""
+        store = self._context.store
+        entries, _ = await store.entries(records.PART_PREFIX, USERS)
+        parts: dict[str, list[int]] = {}
+        for entry in entries:
+            job_id, _, number = entry.key[len(records.PART_PREFIX) :].rpartition("/")
+            if job_id and number.isdecimal() and job_id not in self._context.scheduler.jobs:
+                parts.setdefault(job_id, []).append(int(number))
+        for job_id, numbers in parts.items():
+            if await store.get(records.live_key(job_id), USERS) is None:
+                log.info("%d parts of %s were left behind", len(numbers), job_id)
+                self._decide(job_id, numbers)
+
+    async def _remove_all(self) -> None:
+        book = self._holder.book
+        for order in book.of_kind(CleanupOrder, OrderState.RECORDED, OrderState.SENT):
+            if not await self._holder.look():
+                return
+            book.sending(order)
+            await self._remove(order.record.job, order.record.parts)
+            book.finished(order, await curio.clock())
+
+    async def _remove(self, job_id: str, parts: list[int]) -> None:
+        """Remove parts, as many at a time as a transaction takes; never a live job's."""
+        context = self._context
+        conditions = [*context.conditions(), (records.live_key(job_id), 0)]
+        for start in range(0, len(parts), context.txn_ops):
+            some = parts[start : start + context.txn_ops]
+            drops = [wire.drop(records.part_key(job_id, part)) for part in some]
+            await context.store.multi(conditions, drops, USERS)
--- /dev/null
+++ b/topazhold/duties/holder.py
@@ -0,0 +1,171 @@
+"""The holder of the duties: doubts itself, records its orders, closes them.
+
+A record goes out under the leadership guard, so that no record of a term can be written once
+its successor is elected; and the successor reads all records before it decides anything.
+"""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections.abc import Iterable
+from typing import Any
+
+import curio
+
+from topazhold.control.store import DECISIONS, LEASES, TROUBLE, USERS, Conflict, StoreUnknown
+from topazhold.control.term_context import TXN_BYTES, Deposed, TermContext
+from topazhold.core.leadership import LEADER_KEY
+from topazhold.duties.book import AnyOrder, OrderBook
+from topazhold.duties.records import RecordError, write_record
+from topazhold.duties.standing import HolderStanding, Standing
+from topazhold.wire import messages as wire
+
+log = logging.getLogger(__name__)
+
+#: A longer time between two looks at the clocks is taken for a pause; looks are due after a
+#: fifth of it. Shares of a lease's time.
+GAP_GRANTS = 0.5
+LOOK_GRANTS = 0.1
+#: The lease must have so much of its time left when an order is decided or sent.
+MARGIN_GRANTS = 0.05
+#: After a pause, machines are heard for so many report periods before one is released
+#: without a record: what was known of them is old.
+HEARING_REPORTS = 2.5
+#: Report periods between two looks for records to remove.
+CLOSING_REPORTS = 1.0
+
+
+class DutyHolder:
+    """What all duties of a term need of the state service."""
+
+    def __init__(self, context: TermContext, book: OrderBook, grant_s: float, now: float) -> None:
+        self._context = context
+        self._grant_s = grant_s
+        self.book = book
+        self.standing = HolderStanding(GAP_GRANTS * grant_s, now, time.time())
+        self._recording = curio.Lock()  # several duties record; each order is put once at a time
+        self._unsure: dict[str, AnyOrder] = {}  # whose records may have been written
+
+    # -- doubt -----------------------------------------------------------------
+
+    async def look(self) -> bool:
+        """Look at the clocks; whether orders may be decided and sent just now."""
+        now = await curio.clock()
+        assured = self._context.assured(now + MARGIN_GRANTS * self._grant_s)
+        pauses = self.standing.pauses
+        standing = self.standing.look(now, time.time(), assured)
+        if self.standing.pauses != pauses:
+            log.info("holder of term %d was paused: no orders until confirmed", self._context.term)
+        return standing is Standing.CONFIRMED
+
+    async def may_act(self) -> bool:
+        """Whether this is the holder; where in doubt, the leadership is looked up."""
+        if await self.look():
+            return True
+        asked_at = await curio.clock()
+        try:
+            entry = await self._context.store.get(LEADER_KEY, LEASES)
+        except TROUBLE as exc:
+            log.debug("leadership not confirmed: %s", exc)
+            return False
+        if entry is None or entry.revision != self._context.revision:
+            self.standing.lose()
+            raise Deposed("another holder of the duties was found")
+        self.standing.confirm(asked_at)
+        return await self.look()
+
+    def may_force(self, now: float) -> bool:
+        """Whether what is known of the machines is fresh enough for a forced release."""
+        heard_s = now - self.standing.paused_at
+        return heard_s > HEARING_REPORTS * self._context.report_s
+
+    async def watch_clocks(self) -> None:
+        """Look often, so that a pause shows before the next order."""
+        while True:
+            await curio.sleep(LOOK_GRANTS * self._grant_s)
+            await self.look()
+
+    # -- records ---------------------------------------------------------------
+
+    async def record(self) -> None:
+        """Write the records that are due; orders that fail stay as they are."""
+        context = self._context
+        most = min(context.txn_ops, max(1, TXN_BYTES // context.value_limit))
+        async with self._recording:
+            while orders := self.book.to_record(most):
+                if not await self._record(orders):
+                    return
+
+    async def _record(self, orders: list[AnyOrder]) -> bool:
+        """One transaction; whether the records are known to be there."""
+        conditions = self._context.conditions() + [(order.key, 0) for order in orders]
+        try:
+            puts = [wire.put(order.key, write_record(order.record)) for order in orders]
+            await self._context.store.multi(conditions, puts, DECISIONS)
+        except RecordError as exc:
+            log.error("order not recorded: %s", exc)
+            return False
+        except Conflict as exc:
+            if LEADER_KEY in exc.keys:
+                self.standing.lose()
+                raise Deposed("the leadership mark has changed") from None
+            await self._read_back(order for order in orders if order.key in exc.keys)
+            return False
+        except StoreUnknown as exc:
+            # It may yet be carried out: the order stays, and is recorded under the same key.
+            self._unsure.update({order.key: order for order in orders})
+            log.debug("orders perhaps not recorded: %s", exc)
+            return False
+        except TROUBLE as exc:
+            log.debug("orders not recorded: %s", exc)
+            return False
+        self._known(orders, await curio.clock())
+        return True
+
+    def _known(self, orders: Iterable[AnyOrder], now: float) -> None:
+        orders = list(orders)
+        self.book.recorded(orders, now)
+        for order in orders:
+            self._unsure.pop(order.key, None)
+
+    async def _read_back(self, orders: Iterable[AnyOrder]) -> None:
+        """Keys that are there already: an earlier try without an answer wrote them."""
+        for order in orders:
+            try:
+                entry = await self._context.store.get(order.key, DECISIONS)
+            except TROUBLE as exc:
+                log.debug("record %s not read: %s", order.key, exc)
+                continue
+            if entry is not None and _token(entry.data) == order.record.by:
+                self._known([order], await curio.clock())
+            else:
+                log.error("key %s is taken by another record", order.key)
+
+    async def close_loop(self) -> None:
+        """Remove the records of orders that are over."""
+        while True:
+            await curio.sleep(CLOSING_REPORTS * self._context.report_s)
+            await self.close()
+
+    async def close(self) -> None:
+        """Remove records that are due, in one transaction."""
+        now = await curio.clock()
+        due = self.book.to_close(now, self._context.txn_ops)
+        stored = [order for order in due if order.stored or order.key in self._unsure]
+        if stored:
+            drops = [wire.drop(order.key) for order in stored]
+            try:
+                await self._context.store.multi(self._context.conditions(), drops, USERS)
+            except Conflict:
+                raise Deposed("the leadership mark has changed") from None
+            except TROUBLE as exc:
+                log.debug("%d records stay: %s", len(stored), exc)
+                return
+        for order in stored:
+            self._unsure.pop(order.key, None)
+        self.book.closed(due)
+
+
+def _token(data: Any) -> Any:
+    return data.get("by") if isinstance(data, dict) else None
--- /dev/null
+++ b/topazhold/duties/inheritance.py
@@ -0,0 +1,78 @@
+"""Orders that an earlier term left open: a new holder completes them.
+
+They are read before anything is decided. A machine of an open return is going for good, also
+when it still reports; an open rental is asked for again under its name.
+"""
+
+from __future__ import annotations
+
+import logging
+
+from topazhold.control.store import LEASES
+from topazhold.control.term_context import TermContext
+from topazhold.core.ledger import ATTEMPTS_PER_TERM
+from topazhold.core.scheduler import Scheduler
+from topazhold.duties.book import OrderBook
+from topazhold.duties.records import (
+    DUTY_PREFIX,
+    OrderRecord,
+    RecordError,
+    ReturnRecord,
+    read_record,
+)
+from topazhold.wire.messages import Entry
+
+log = logging.getLogger(__name__)
+
+
+async def read_entries(context: TermContext) -> list[Entry]:
+    """All stored orders; raises what the state service's access raises."""
+    entries, _ = await context.store.entries(DUTY_PREFIX, LEASES)
+    return entries
+
+
+def readable(entries: list[Entry], book: OrderBook) -> list[OrderRecord]:
+    """The records of the entries; odd ones are logged and left."""
+    found = []
+    for entry in entries:
+        try:
+            found.append(read_record(entry.key, entry.data))
+        except RecordError as exc:
+            book.counters.unreadable += 1
+            log.error("%s unreadable: %s", entry.key, exc)
+    return found
+
+
+def inherit(scheduler: Scheduler, book: OrderBook, entries: list[Entry], now: float) -> None:
+    """Take over all stored orders, once jobs and intents are loaded."""
+    for record in readable(entries, book):
+        order = book.inherit(record, now)
+        if order is None:
+            continue
+        log.info("order %s of term %d is taken over", order.key, record.term)
+        if isinstance(record, ReturnRecord):
+            _inherit_return(scheduler, book, record, now)
+
+
+def _inherit_return(
+    scheduler: Scheduler, book: OrderBook, record: ReturnRecord, now: float
+) -> None:
+    for name in record.machines:
+        if book.return_of(name) is None:
+            continue
+        if _used_since(scheduler, name, record.term):
+            # Only a controller that knows no records can have done that. What it placed
+            # there is not to be lost for a decision that it did not know of.
+            log.info("return of %s is dropped: a later term has used it", name)
+            book.supersede_return(name, now)
+            continue
+        machine = scheduler.add_machine(name, "", False, "", now)
+        scheduler.release(machine, f"return of term {record.term}", now)
+
+
+def _used_since(scheduler: Scheduler, name: str, term: int) -> bool:
+    """Whether a term later than `term` has placed tasks on the machine."""
+    machine = scheduler.machines.get(name)
+    return machine is not None and any(
+        run.attempt // ATTEMPTS_PER_TERM > term for run in machine.runs.values()
+    )
--- /dev/null
+++ b/topazhold/duties/records.py
@@ -0,0 +1,139 @@
+"""Records of orders in the state service: typed, and checked when written and when read.
+
+An order is recorded under the leadership guard before it is sent, so that a successor can
+complete it. Its key names the term and a number within the term, and is never used twice.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping
+from typing import Annotated, Any
+
+import msgspec
+from msgspec import Meta
+
+from topazhold.core.renting import MOST_RELEASED, MOST_RENTED
+from topazhold.wire.codec import BadMessage, convert, json_size
+
+DUTY_PREFIX = "duty/"
+RETURN_PREFIX = "duty/return/"
+RENTAL_PREFIX = "duty/rental/"
+CLEANUP_PREFIX = "duty/cleanup/"
+
+#: Names and reasons in a record are cut or refused beyond so many characters.
+NAME_LENGTH = 200
+REASON_LENGTH = 60
+#: Parts of one clean-up, at the most.
+MOST_PARTS = 1000
+#: What a record takes besides its machines, in bytes of JSON.
+RECORD_BYTES = 400
+MAX_INTEGER = 2**63 - 1
+
+Name = Annotated[str, Meta(min_length=1, max_length=NAME_LENGTH)]
+Reason = Annotated[str, Meta(max_length=REASON_LENGTH)]
+Positive = Annotated[int, Meta(ge=1, le=MAX_INTEGER)]
+
+
+class OrderRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """What every record of an order says."""
+
+    by: Annotated[Name, Meta(description="token of the transaction that wrote the record")]
+    term: Annotated[Positive, Meta(description="term of the leader that decided the order")]
+    number: Annotated[Positive, Meta(description="number of the order within the term")]
+    at: Annotated[float, Meta(ge=0, description="time of day of the decision, in seconds")]
+
+
+class ReturnRecord(OrderRecord, frozen=True, kw_only=True):
+    """Machines that are handed back to the cloud."""
+
+    machines: Annotated[
+        dict[Name, Reason],
+        Meta(
+            min_length=1, max_length=MOST_RELEASED, description="reason of the return, by machine"
+        ),
+    ]
+
+
+class RentalRecord(OrderRecord, frozen=True, kw_only=True):
+    """A rental request under a name that makes its repetition harmless."""
+
+    request: Annotated[Name, Meta(description="name of the request, never used twice")]
+    machine_type: Name
+    zone: Name
+    spot: bool
+    count: Annotated[int, Meta(ge=1, le=MOST_RENTED)]
+
+
+class CleanupRecord(OrderRecord, frozen=True, kw_only=True):
+    """Done marks of a job that is over, which are removed in several transactions."""
+
+    job: Name
+    parts: Annotated[
+        list[Annotated[int, Meta(ge=0)]],
+        Meta(min_length=1, max_length=MOST_PARTS, description="numbers of the parts"),
+    ]
+
+
+#: The type of the records under each prefix.
+RECORD_TYPES: dict[str, type[OrderRecord]] = {
+    RETURN_PREFIX: ReturnRecord,
+    RENTAL_PREFIX: RentalRecord,
+    CLEANUP_PREFIX: CleanupRecord,
+}
+
+
+class RecordError(ValueError):
+    """A record that can't be read or must not be written."""
+
+
+def order_key(prefix: str, term: int, number: int) -> str:
+    """The key of an order; in key order the oldest come first."""
+    return f"{prefix}{term:012d}-{number:08d}"
+
+
+def key_of(record: OrderRecord) -> str:
+    """The key that a record belongs under."""
+    for prefix, kind in RECORD_TYPES.items():
+        if type(record) is kind:
+            return order_key(prefix, record.term, record.number)
+    raise RecordError(f"no key for a {type(record).__name__}")
+
+
+def write_record(record: OrderRecord) -> dict[str, Any]:
+    """The value to store; a record that could not be read again is refused."""
+    value: dict[str, Any] = msgspec.to_builtins(record)
+    try:
+        convert(value, type(record))
+    except BadMessage as exc:
+        raise RecordError(f"{key_of(record)}: {exc}") from None
+    return value
+
+
+def read_record(key: str, value: Any) -> OrderRecord:
+    """A stored order; raises RecordError for anything odd, its key included."""
+    for prefix, kind in RECORD_TYPES.items():
+        if key.startswith(prefix):
+            try:
+                record = convert(value, kind)
+            except BadMessage as exc:
+                raise RecordError(str(exc)) from None
+            if key_of(record) != key:
+                raise RecordError(f"the record is of {key_of(record)}")
+            return record
+    raise RecordError("no such kind of order")
+
+
+def split_machines(machines: Mapping[str, str], value_limit: int) -> Iterator[dict[str, str]]:
+    """Machines with their reasons, in portions that each fit a value."""
+    portion: dict[str, str] = {}
+    size = RECORD_BYTES
+    for name, reason in machines.items():
+        reason = reason[:REASON_LENGTH]
+        more = json_size({name: reason})
+        if portion and (size + more > value_limit or len(portion) >= MOST_RELEASED):
+            yield portion
+            portion, size = {}, RECORD_BYTES
+        portion[name] = reason
+        size += more
+    if portion:
+        yield portion
--- /dev/null
+++ b/topazhold/duties/released.py
@@ -0,0 +1,47 @@
+"""Machines that another controller says it has released.
+
+Machines with tasks of cancelled jobs are released also by controllers that can't record it.
+They tell all others once the cloud has answered. A machine's name is never used twice, so
+what was true once stays true.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+#: Machines remembered; the oldest are forgotten.
+MOST_REMEMBERED = 5000
+#: The tag of the message.
+RELEASED = "released"
+
+
+class Released(NamedTuple):
+    """A message between controllers: machines that the cloud has confirmed to be gone."""
+
+    tag: str
+    node: str
+    machines: list[str]
+
+
+def released_message(node: str, machines: list[str]) -> Released:
+    """What a controller tells the others."""
+    return Released(RELEASED, node, machines)
+
+
+class ReleasedMachines:
+    """Names of machines that are gone, as this controller was told."""
+
+    def __init__(self) -> None:
+        self._names: dict[str, None] = {}
+
+    def add(self, names: Iterable[str]) -> None:
+        """Remember machines that are gone."""
+        for name in names:
+            self._names[name] = None
+            if len(self._names) > MOST_REMEMBERED:
+                del self._names[next(iter(self._names))]
+
+    def names(self) -> list[str]:
+        """All that are remembered."""
+        return list(self._names)
--- /dev/null
+++ b/topazhold/duties/renting.py
@@ -0,0 +1,112 @@
+"""The duty of renting machines: every request is recorded under its name before it is sent."""
+
+from __future__ import annotations
+
+import logging
+import time
+
+import curio
+
+from topazhold.control.cloud import Cloud, CloudDown, NoCapacity, RequestRefused
+from topazhold.control.term_context import TermContext
+from topazhold.core.renting import MOST_RENTED, Ask
+from topazhold.duties.holder import DutyHolder
+from topazhold.duties.orders import RentalOrder
+
+log = logging.getLogger(__name__)
+
+#: For so many report periods the cloud is not asked again for what it does not have.
+REFUSED_REPORTS = 4
+
+
+class RentDuty:
+    """Rents what is wished for, and completes rentals that were left open."""
+
+    def __init__(
+        self, context: TermContext, holder: DutyHolder, cloud: Cloud, listed: curio.Event
+    ) -> None:
+        self._context = context
+        self._holder = holder
+        self._cloud = cloud
+        self._listed = listed  # a machine list has come
+        self._waits_until = 0.0
+
+    async def loop(self) -> None:
+        """Rent, again and again; what was left open is completed at once."""
+        context = self._context
+        since = await curio.clock()
+        while True:
+            more = False
+            if await self._holder.may_act():
+                await self._complete()
+                if await self._knows_fleet(since) and self._holder.book.may_rent():
+                    more = await self._rent()
+            await curio.sleep(context.retry_s if more else context.report_s)
+
+    async def _knows_fleet(self, since: float) -> bool:
+        """Whether enough is known of what is rented already.
+
+        A new leader waits for a list, and what its predecessor rented last is not even
+        listed at first.
+        """
+        if not self._listed.is_set():
+            return False
+        if not self._waits_until:
+            lag_s = self._context.scheduler.lag_s if self._context.term > 1 else 0.0
+            self._waits_until = await curio.clock() + lag_s
+        return await curio.clock() >= self._waits_until
+
+    async def _rent(self) -> bool:
+        """Decide, record and ask; whether so much was wished that more is likely to be."""
+        asks = self._context.scheduler.rent(await curio.clock())
+        for ask in asks:
+            self._holder.book.decide_rental(ask, time.time())
+        if asks:
+            await self._holder.record()
+            await self._complete()
+        return sum(ask.count for ask in asks) >= MOST_RENTED
+
+    async def _complete(self) -> None:
+        """Ask for what is recorded and not answered yet."""
+        await self._holder.record()
+        for order in self._holder.book.rentals_due():
+            if not await self._holder.look():
+                return
+            await self._ask(order)
+
+    async def _ask(self, order: RentalOrder) -> None:
+        record, book = order.record, self._holder.book
+        refusals = self._context.scheduler.refusals
+        kind = (record.machine_type, record.zone, record.spot)
+        pause_s = REFUSED_REPORTS * self._context.report_s
+        if book.sending(order):
+            log.info("rental %s asked for again", record.request)
+        ask = Ask(record.machine_type, record.zone, record.spot, record.count)
+        try:
+            names = await self._cloud.rent(record.request, ask)
+        except NoCapacity:
+            now = await curio.clock()
+            refusals.refused(*kind, pause_s, now)
+            book.rented(order, [], now)
+            return
+        except RequestRefused as exc:
+            log.error("rental %s refused for good: %s", record.request, exc)
+            now = await curio.clock()
+            refusals.refused(*kind, pause_s, now)
+            book.rented(order, [], now)
+            return
+        except CloudDown as exc:
+            log.debug("rental %s: %s", record.request, exc)
+            return
+        now = await curio.clock()
+        book.rented(order, names, now)
+        for name in names:
+            self._context.scheduler.add_rented(
+                name, record.zone, record.spot, record.machine_type, now
+            )
+        price = "spot" if record.spot else "ordinary"
+        log.info("rented %d of %d %s in %s", len(names), record.count, price, record.zone)
+        if len(names) < record.count:
+            refusals.refused(*kind, pause_s, now)
+        else:
+            refusals.granted(*kind)
--- /dev/null
+++ b/topazhold/duties/returning.py
@@ -0,0 +1,125 @@
+"""The duty of returning machines: idle, silent, failed, deaf, noticed ones, and cancelled work.
+
+`Scheduler.releases` says which machines are to go; here each is returned by one order.
+"""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections.abc import Awaitable, Callable
+
+import curio
+
+from topazhold.control.cloud import Cloud, CloudDown
+from topazhold.control.intents import Intents
+from topazhold.control.term_context import TermContext
+from topazhold.core.intent_shards import IntentShard
+from topazhold.duties.book import ReleaseRequest
+from topazhold.duties.holder import DutyHolder
+from topazhold.duties.orders import OrderState
+
+log = logging.getLogger(__name__)
+
+#: Tells the other controllers of machines that were released without a record.
+TellReleased = Callable[[list[str]], Awaitable[None]]
+
+
+class ReturnDuty:
+    """Hands machines back, each by one order that is recorded first."""
+
+    def __init__(
+        self,
+        context: TermContext,
+        holder: DutyHolder,
+        cloud: Cloud,
+        intents: Intents,
+        tell_released: TellReleased,
+    ) -> None:
+        self._context = context
+        self._holder = holder
+        self._cloud = cloud
+        self._intents = intents
+        self._tell_released = tell_released
+
+    async def loop(self) -> None:
+        """Return what is to go, again and again."""
+        while True:
+            await curio.sleep(self._context.retry_s)
+            request = await self.next_request()
+            if request is not None:
+                await self._send(request)
+
+    async def next_request(self) -> ReleaseRequest | None:
+        """Decide and record what is new; the machines to name in the next request.
+
+        A leader who can't be sure to be leader must not take machines away that another
+        may be using. Only a cancelled task has to go at any price.
+        """
+        scheduler, book = self._context.scheduler, self._holder.book
+        if not scheduler.releases and not book.open_orders():
+            return None
+        may_act = await self._holder.may_act()
+        if may_act:
+            book.decide_returns(scheduler.releases, time.time())
+            await self._holder.record()
+            may_act = await self._holder.look()  # the record may have taken its time
+        if self._holder.may_force(await curio.clock()):
+            self._force_returns()
+        elif not may_act:
+            return None
+        return book.release_request(scheduler.must_go, only_must_go=not may_act)
+
+    def _force_returns(self) -> None:
+        """Machines with cancelled tasks go also while nothing can be recorded."""
+        scheduler, book = self._context.scheduler, self._holder.book
+        forced = {}
+        for name, reason in scheduler.releases.items():
+            if scheduler.must_go(name):
+                order = book.return_of(name)
+                if order is None or order.state is OrderState.DECIDED:
+                    forced[name] = reason
+        book.force_returns(forced, time.time())
+        if forced:
+            log.info("%d machines with cancelled tasks released without a record", len(forced))
+
+    async def _send(self, request: ReleaseRequest) -> None:
+        again = " again" if request.repeated else ""
+        log.info("return of %d machines asked for%s", len(request.names), again)
+        try:
+            await self._cloud.release(request.names)
+        except CloudDown as exc:
+            log.debug("release: %s", exc)
+            return
+        now = await curio.clock()
+        book = self._holder.book
+        unrecorded = [
+            name
+            for name in request.names
+            if (order := book.return_of(name)) is not None and order.forced and not order.stored
+        ]
+        book.machines_gone(request.names, now)
+        await self._forget(request.names, now)
+        if unrecorded:
+            await self._tell_released(unrecorded)
+
+    async def released_by_peer(self, names: list[str], now: float) -> None:
+        """Another controller's release of these machines was answered: they are gone."""
+        self._holder.book.machines_gone(names, now)
+        known = [name for name in names if name in self._context.scheduler.machines]
+        for name in names:
+            self._context.scheduler.machine_gone(name, now)
+        if known:
+            log.info("%d machines were released by another controller", len(known))
+            await self._context.request_plan()
+
+    async def _forget(self, names: list[str], now: float) -> None:
+        """The machines and all on them are gone."""
+        stale: set[IntentShard] = set()
+        for name in names:
+            self._context.scheduler.machine_gone(name, now)
+            shard = self._context.shards.gone(name)
+            if shard is not None and shard.revision:
+                stale.add(shard)
+        await self._context.request_plan()
+        await self._intents.tidy(stale)
--- a/topazhold/settings.py
+++ b/topazhold/settings.py
@@ -147,6 +147,7 @@
     idle_boots: float = 1.0
     use_spot: bool = True
     user_socket_share: float = 0.6
+    record_orders: bool = True
 
 
 def address(text: str) -> tuple[str, int]:
