--- /dev/null
+++ b/tests/test_duties.py
@@ -0,0 +1,369 @@
+"""One holder of duties at a time: the real controllers, stopped at every point of an order."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import curio
+import pytest
+
+from tests.scenes import Scene, assert_rules, play_scene
+from tests.standins import CloudService, StateService, start_node
+from tests.versions import production
+from topazhold.core.renting import Ask
+from topazhold.duties.book import MOST_KEPT, OrderBook
+from topazhold.duties.orders import OrderError, OrderState, ReturnOrder
+from topazhold.duties.records import (
+    DUTY_PREFIX,
+    RENTAL_PREFIX,
+    RETURN_PREFIX,
+    RecordError,
+    ReturnRecord,
+    read_record,
+    write_record,
+)
+from topazhold.io.http import NoAnswer
+
+POINTS = ["before_record", "after_record", "before_answer", "after_answer"]
+#: Longer than a lease of a controller, by far.
+PAUSE_S = 30.0
+HELD_S = 120.0
+
+
+class Trap:
+    """Does something to the leader at one point of its first order of a kind."""
+
+    def __init__(self, scene: Scene, point: str, path: str, act: Callable[[str], None]) -> None:
+        self._scene, self._point, self._path, self._act = scene, point, path, act
+        self.source: str | None = None  # whose order it was
+        self._state = scene.net.hosts[StateService.HOST]
+        self._cloud = scene.net.hosts[CloudService.HOST]
+        scene.net.hosts[StateService.HOST] = self._on_state
+        scene.net.hosts[CloudService.HOST] = self._on_cloud
+
+    def _spring(self, source: str, point: str) -> bool:
+        if self.source is not None or point != self._point:
+            return False
+        self.source = source
+        self._act(source)
+        return True
+
+    async def _on_state(self, source: str, method: str, path: str, body: Any) -> tuple[int, Any]:
+        prefix = RETURN_PREFIX if self._path == "/machines/release" else RENTAL_PREFIX
+        puts = body["then"] if path == "/multi" else []
+        ours = any(str(change.get("put", "")).startswith(prefix) for change in puts)
+        if ours and self._spring(source, "before_record"):
+            return 503, {}
+        answer = await self._state(source, method, path, body)
+        if ours:
+            self._spring(source, "after_record")
+        return answer
+
+    async def _on_cloud(self, source: str, method: str, path: str, body: Any) -> tuple[int, Any]:
+        ours = method == "POST" and path == self._path
+        if ours and self._spring(source, "before_answer"):
+            await curio.spawn(self._carry_out_late, source, method, path, body, daemon=True)
+            raise NoAnswer("held by the network")
+        answer = await self._cloud(source, method, path, body)
+        if ours:
+            self._spring(source, "after_answer")
+        return answer
+
+    async def _carry_out_late(self, *request: Any) -> None:
+        await curio.sleep(HELD_S)
+        await self._cloud(*request)
+
+
+def freeze(scene: Scene) -> Callable[[str], None]:
+    def act(source: str) -> None:
+        scene.frozen[source] = scene.clock.now + PAUSE_S
+
+    return act
+
+
+def state_fails(scene: Scene) -> Callable[[str], None]:
+    """The state service is out from this point on, for longer than any lease of a controller."""
+
+    def act(source: str) -> None:
+        scene.state.set_down(True)
+
+    return act
+
+
+async def begin(scene: Scene) -> str:
+    await scene.begin(machines=4)
+    await scene.jobs_running(2, scene.names[0], gpus=1.0)
+    leader = scene.leader()
+    assert leader is not None
+    return leader
+
+
+async def order(scene: Scene, leader: str, kind: str) -> None:
+    """Let the leader decide on a return or a rental."""
+    scheduler = scene.nodes[leader].leading.scheduler
+    if kind == "return":
+        busy = {worker.name for worker in scene.busy_workers()}
+        idle = sorted(name for name in scheduler.machines if name not in busy)
+        chosen = scheduler.machines[idle[0] if idle else min(scheduler.machines)]
+        scheduler.release(chosen, "chosen", scene.clock.now)
+    else:
+        via = scene.others(leader)[0]
+        await scene.submit(via, 20.0, tasks=12, gpus=4.0, cpus=4.0)
+
+
+async def settle(scene: Scene) -> None:
+    """Every order ends, its record with it, and no controller is wrong about a machine."""
+    await curio.sleep(HELD_S + 10.0)
+    await scene.until(lambda: scene.leader() is not None)
+    leader = scene.leader()
+    assert leader is not None
+    await scene.until(lambda: not open_records(scene), 240.0)
+    known = scene.nodes[leader].leading.scheduler.machines
+    await scene.until(lambda: scene.cloud.workers.keys() <= known.keys(), 60.0)
+
+
+def open_records(scene: Scene) -> list[str]:
+    """Records of orders that are not just kept for late lists."""
+    names = set(scene.cloud.workers)
+    return [
+        key
+        for key, (data, _, _) in scene.state.data.items()
+        if key.startswith(RENTAL_PREFIX) or names & set(data.get("machines", ()) if data else ())
+        if key.startswith(DUTY_PREFIX)
+    ]
+
+
+@pytest.mark.parametrize("successors", [1, 2])
+@pytest.mark.parametrize("kind", ["return", "rental"])
+@pytest.mark.parametrize("point", POINTS)
+def test_paused_holder_goes_on_after_its_successors(
+    point: str, kind: str, successors: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    path = "/machines/release" if kind == "return" else "/machines"
+
+    async def act(scene: Scene) -> None:
+        leader = await begin(scene)
+        trap = Trap(scene, point, path, freeze(scene))
+        await order(scene, leader, kind)
+        await scene.until(lambda: trap.source is not None)
+        assert trap.source == leader
+        new = await scene.new_leader(leader)
+        if successors == 2:
+            await scene.end(new)
+            await scene.back(new, 1.0)
+            await scene.until(lambda: scene.leader() not in (None, leader), 30.0)
+        before = scene.clock.now
+        await settle(scene)
+        late = [done for done in scene.cloud.orders.executed if done.at > before and done.stale]
+        assert late == [], "an order of a former holder had an effect"
+
+    assert_rules(play_scene(act, monkeypatch))
+
+
+@pytest.mark.parametrize("kind", ["return", "rental"])
+@pytest.mark.parametrize("point", POINTS)
+def test_state_service_fails_at_each_point(
+    point: str, kind: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    path = "/machines/release" if kind == "return" else "/machines"
+
+    async def act(scene: Scene) -> None:
+        leader = await begin(scene)
+        trap = Trap(scene, point, path, state_fails(scene))
+        await order(scene, leader, kind)
+        await scene.until(lambda: trap.source is not None)
+        await curio.sleep(PAUSE_S)
+        scene.state.set_down(False)
+        await settle(scene)
+
+    assert_rules(play_scene(act, monkeypatch))
+
+
+@pytest.mark.parametrize("point", POINTS)
+def test_all_controllers_end_with_an_order_open(
+    point: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def act(scene: Scene) -> None:
+        leader = await begin(scene)
+        trap = Trap(scene, point, "/machines/release", freeze(scene))
+        await order(scene, leader, "return")
+        await scene.until(lambda: trap.source is not None)
+        for name in list(scene.nodes):
+            await scene.end(name)
+        scene.frozen.clear()
+        await curio.sleep(1.0)
+        for name in scene.names:  # the same node may lead again, under another term
+            await start_node(scene, name)
+        await settle(scene)
+
+    assert_rules(play_scene(act, monkeypatch))
+
+
+def test_lost_answers_and_late_transactions(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Of many orders none is decided twice, whatever is lost, late or refused."""
+
+    async def act(scene: Scene) -> None:
+        await begin(scene)
+        scene.net.held_orders, scene.net.late_writes, scene.net.loss = 0.4, 0.3, 0.1
+        for number in range(8):
+            await scene.users_come(3, 6.0)
+            scene.cloud.down = number % 3 == 2
+        scene.cloud.down = False
+        scene.net.held_orders = scene.net.late_writes = scene.net.loss = 0.0
+        await settle(scene)
+        assert len(scene.cloud.orders.executed) > 3
+
+    assert_rules(play_scene(act, monkeypatch))
+
+
+def test_spot_machine_is_taken_while_its_return_is_open(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def act(scene: Scene) -> None:
+        leader = await begin(scene)
+        taken: list[str] = []
+
+        def take(source: str) -> None:
+            for name in scene.nodes[leader].leading.scheduler.releases:
+                taken.append(name)
+                scene.cloud.take(scene.cloud.workers[name])
+
+        Trap(scene, "after_record", "/machines/release", take)
+        await order(scene, leader, "return")
+        await scene.until(lambda: bool(taken))
+        await settle(scene)
+        assert scene.leader() == leader
+
+    assert_rules(play_scene(act, monkeypatch))
+
+
+def test_successor_places_nothing_on_a_machine_of_an_open_return(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The machine still reports, is booked for a gang, and has a launch on its way."""
+
+    async def act(scene: Scene) -> None:
+        leader = await begin(scene)
+        trap = Trap(scene, "after_record", "/machines/release", freeze(scene))
+        scene.cloud.down = True  # the successor can't complete it yet
+        await order(scene, leader, "return")
+        await scene.until(lambda: trap.source is not None)
+        (name,) = scene.nodes[leader].leading.scheduler.releases
+        new = await scene.new_leader(leader)
+        await scene.submit(new, 10.0, tasks=8, gpus=1.0, shape="gang")
+        await curio.sleep(20.0)
+        worker = scene.cloud.workers[name]
+        assert not worker.tasks and worker.up, "it reports, and gets nothing"
+        scene.cloud.down = False
+        await settle(scene)
+        assert name not in scene.cloud.workers
+
+    assert_rules(play_scene(act, monkeypatch))
+
+
+def test_return_that_a_leader_of_the_old_version_did_not_know_is_dropped(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """An old leader ignores the record and uses the machine; the next new one leaves it."""
+
+    async def act(scene: Scene) -> None:
+        scene.cloud.orders.judges = False  # production records nothing
+        leader = await begin(scene)
+        trap = Trap(scene, "after_record", "/machines/release", freeze(scene))
+        await order(scene, leader, "return")
+        await scene.until(lambda: trap.source is not None)
+        (name,) = scene.nodes[leader].leading.scheduler.releases
+        for node in list(scene.nodes):
+            await scene.end(node)
+        scene.frozen.clear()
+        scene.versions = dict.fromkeys(scene.names, production())
+        for node in scene.names:
+            await start_node(scene, node)
+        await scene.until(lambda: scene.leader() is not None)
+        via = scene.names[0]
+        while not any(t.state == "running" for t in scene.cloud.workers[name].tasks.values()):
+            await scene.submit(via, 200.0, tasks=1, gpus=2.0)
+            await curio.sleep(3.0)
+        for node in scene.names:
+            await scene.end(node)
+            del scene.versions[node]
+            await scene.back(node)
+        await scene.until(lambda: scene.leader() is not None)
+        await curio.sleep(30.0)
+        assert any(t.state == "running" for t in scene.cloud.workers[name].tasks.values())
+        await scene.until(lambda: not any(k.startswith(RETURN_PREFIX) for k in scene.state.data))
+
+    assert_rules(play_scene(act, monkeypatch))
+
+
+def test_odd_records_are_left_and_the_rest_goes_on(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    odd = {
+        f"{RETURN_PREFIX}000000000001-00000001": {"machines": 3},
+        f"{RETURN_PREFIX}junk": None,
+        f"{DUTY_PREFIX}unheard/of": {"by": "x"},
+    }
+
+    async def act(scene: Scene) -> None:
+        for key, value in odd.items():
+            scene.state.data[key] = (value, 5, None)
+        leader = await begin(scene)
+        await order(scene, leader, "return")
+        await curio.sleep(5.0)
+        assert scene.cloud.orders.executed
+        assert odd.keys() <= scene.state.data.keys()
+
+    assert_rules(play_scene(act, monkeypatch))
+    for key in odd:
+        assert f"{key} unreadable" in caplog.text
+
+
+def record_of(names: list[str], number: int = 1) -> ReturnRecord:
+    machines = dict.fromkeys(names, "idle")
+    return ReturnRecord(by="d1-1", term=1, number=number, at=1.0, machines=machines)
+
+
+def test_records_are_split_and_checked() -> None:
+    book = OrderBook("hive-0", 7, value_limit=2048, keep_s=10.0)
+    reasons = {f"host-{number:06d}": "silent and not listed" for number in range(300)}
+    orders = book.decide_returns(reasons, 5.0)
+    assert len(orders) > 3 and len({order.key for order in orders}) == len(orders)
+    assert [name for order in orders for name in order.record.machines] == list(reasons)
+    for each in orders:
+        assert read_record(each.key, write_record(each.record)) == each.record
+    with pytest.raises(RecordError):
+        write_record(record_of([]))
+    with pytest.raises(RecordError):
+        read_record(orders[0].key, write_record(record_of(["host-1"])))
+
+
+def test_states_change_in_order_only() -> None:
+    one = ReturnOrder(record_of(["host-1"]))
+    for change in (one.sent, lambda: one.confirm(1.0), one.close):
+        with pytest.raises(OrderError):
+            change()
+    one.record_committed()
+    with pytest.raises(OrderError):
+        one.record_committed()
+    assert (one.sent(), one.sent()) == (False, True)
+    one.confirm(1.0)
+    one.close()
+    assert one.state is OrderState.CLOSED
+
+
+def test_orders_do_not_pile_up() -> None:
+    """Closed ones are forgotten, kept ones are bounded, open rentals too."""
+    book = OrderBook("hive-0", 7, value_limit=2048, keep_s=1e9)
+    for number in range(2 * MOST_KEPT):
+        name = f"host-{number}"
+        book.recorded(book.decide_returns({name: "idle"}, 1.0), 1.0)
+        book.release_request(lambda name: False, False)
+        book.machines_gone([name], 1.0)
+        book.closed(book.to_close(2.0, 16))
+    assert len(book.open_orders()) <= MOST_KEPT + 1
+    while book.may_rent():
+        rental = book.decide_rental(Ask("b1", "a", False, 1), 1.0)
+        book.recorded([rental], 1.0)
+        for _ in range(10):
+            book.sending(rental)
+    assert len(book.rentals_due()) < 10
--- a/topazhold/duties/holder.py
+++ b/topazhold/duties/holder.py
@@ -49,6 +49,10 @@
 
     # -- doubt -----------------------------------------------------------------
 
+    def begin(self, now: float) -> None:
+        """The term is loaded; from here on the clocks are looked at."""
+        self.standing.begin(now, time.time())
+
     async def look(self) -> bool:
         """Look at the clocks; whether orders may be decided and sent just now."""
         now = await curio.clock()
--- a/topazhold/duties/standing.py
+++ b/topazhold/duties/standing.py
@@ -29,6 +29,12 @@
         self.paused_at = -1e9  # when the last pause was noticed
         self.pauses = 0
 
+    def begin(self, now: float, wall: float) -> None:
+        """The term is loaded, which may have taken long: the first order is confirmed first."""
+        self._looked_at = now
+        self._clock_difference = wall - now
+        self._state = Standing.DOUBTED
+
     def look(self, now: float, wall: float, assured: bool) -> Standing:
         """Look at the clocks; `assured`: the lease can't have passed on.
 
--- a/topazhold/duties/term_duties.py
+++ b/topazhold/duties/term_duties.py
@@ -59,6 +59,7 @@
     async def take_over(self, entries: list[Entry], released: list[str]) -> None:
         """Complete what earlier terms left open; `released` machines are known to be gone."""
         now = await curio.clock()
+        self.holder.begin(now)
         inherit(self._context.scheduler, self.book, entries, now)
         await self.returning.released_by_peer(released, now)
         if self.book.counters.inherited:
