Tests of cancellations and old reports do not hang on what one seed draws

Need: which controller a worker is with, and whether a session ends, is drawn; any further message changed the draw, and variants that are broken were missed. Change: variants are looked for on eight seeds; sessions end at set times, oftener than drawn.

--- a/tests/test_cancellations.py
+++ b/tests/test_cancellations.py
@@ -318,7 +318,17 @@
 
     monkeypatch.setattr(CancellationExchange, "_tell", silent)
     monkeypatch.setattr(Cancellations, "informed", True, raising=False)
-    assert "ran_cancelled" in gap(confirmer_ends, monkeypatch, "hive").broken
+    assert breaks_on_some_seed(confirmer_ends, monkeypatch)
+
+
+def breaks_on_some_seed(twist: Twist, monkeypatch: pytest.MonkeyPatch, links: bool = True) -> bool:
+    """Whether a cancelled task runs on. Which controller a worker is with is drawn, and with
+    one that knows of the cancellation it is killed also in a broken variant."""
+    for seed in range(1, 9):
+        with monkeypatch.context() as of_scene:
+            if "ran_cancelled" in gap(twist, of_scene, "hive", seed, links=links).broken:
+                return True
+    return False
 
 
 def test_checker_catches_answers_without_kills(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -328,24 +338,19 @@
     monkeypatch.setattr(
         Node, "_answer_kept", lambda self, rep, term: Answer(200, Commands(term, []))
     )
-    assert "ran_cancelled" in gap(leader_ends, monkeypatch, "hive").broken
+    assert breaks_on_some_seed(leader_ends, monkeypatch)
 
 
 def test_checker_catches_a_confirmer_that_does_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Whether a worker stays with a controller that knows nothing is drawn, so on some seed."""
     no_enforcer(monkeypatch)
-    for seed in range(1, 9):
-        with monkeypatch.context() as of_scene:
-            if "ran_cancelled" in gap(nothing, of_scene, "hive", seed, links=False).broken:
-                return
-    pytest.fail("the checker missed it")
+    assert breaks_on_some_seed(nothing, monkeypatch, links=False)
 
 
 def test_checker_catches_workers_kept_by_who_knows_nothing(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     monkeypatch.setattr(Node, "_informed", lambda self, now: True)
-    assert "ran_cancelled" in gap(all_restart, monkeypatch, "hive").broken
+    assert breaks_on_some_seed(all_restart, monkeypatch)
 
 
 # -- the record itself -------------------------------------------------------------
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -206,9 +206,11 @@
     async def act(scene: Scene) -> None:
         await begin(scene)
         scene.net.held_orders, scene.net.late_writes, scene.net.loss = 0.4, 0.3, 0.1
+        coming = await curio.spawn(scene.users_come, 24, 48.0, daemon=True)
         for number in range(8):
-            await scene.users_come(3, 6.0)
+            await curio.sleep(6.0)
             scene.cloud.down = number % 3 == 2
+        await coming.join()
         scene.cloud.down = False
         scene.net.held_orders = scene.net.late_writes = scene.net.loss = 0.0
         await settle(scene)
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -487,10 +487,10 @@
         await scene.begin()
         coming = await curio.spawn(scene.users_come, 25, 25.0, daemon=True)
         old = 0
-        for _ in range(40):
+        for second in range(40):
             await curio.sleep(1.0)
             workers = list(scene.cloud.workers.values())
-            if scene.rng.random() < 0.1:
+            if second % 8 == 4:  # drawn, there were sometimes none
                 scene.rng.choice(workers).new_session()
             for worker in workers:
                 past = [
