Duties on loopback, their schemas, and a command that shows holder and orders

Need: proof with real processes that a continued holder's orders have no effect; operators must see who holds each duty and what is open.

--- a/tests/cloud_history.py
+++ b/tests/cloud_history.py
@@ -19,6 +19,7 @@
     at: float
     source: str
     holder: str | None  # who held the duties at that moment
+    recorded: bool  # whether a record of it stood in the state service
     names: list[str] = field(default_factory=list)
 
     @property
@@ -34,6 +35,7 @@
         self.judges = True
         self.returns: dict[str, tuple[str, float]] = {}  # machine -> record, since when
         self.rentals: set[str] = set()  # names of recorded requests
+        self.received = self.received_stale = 0  # orders that came, carried out or not
         self.executed: list[Executed] = []
         self.forced: list[str] = []  # released without a record
 
@@ -51,16 +53,25 @@
         if self.judges:
             self._world.violate(rule, text)
 
-    def _execute(self, source: str, names: list[str]) -> None:
+    def _holder(self) -> str | None:
         value = self._world.state.data.get(LEADER_KEY)
-        holder = value[0]["node"] if value is not None else None
-        self.executed.append(Executed(self._world.clock.now, source, holder, names))
+        return value[0]["node"] if value is not None else None
+
+    def arrived(self, source: str) -> None:
+        """An order came to the cloud."""
+        self.received += 1
+        self.received_stale += source != self._holder()
+
+    def _execute(self, source: str, names: list[str], recorded: bool) -> None:
+        holder = self._holder()
+        self.executed.append(Executed(self._world.clock.now, source, holder, recorded, names))
 
     def released(self, source: str, workers: list[Any]) -> None:
         """Machines are about to go that were there."""
         if not workers:
             return
-        self._execute(source, [worker.name for worker in workers])
+        names = [worker.name for worker in workers]
+        self._execute(source, names, all(name in self.returns for name in names))
         for worker in workers:
             if worker.name in self.returns:
                 continue
@@ -70,7 +81,7 @@
 
     def rented(self, source: str, request: str, names: list[str]) -> None:
         """Machines were rented by a request that was not carried out before."""
-        self._execute(source, names)
+        self._execute(source, names, request in self.rentals)
         if request not in self.rentals:
             self._violate("unrecorded_rental", f"{request} by {source}")
 
--- /dev/null
+++ b/tests/loopback.py
@@ -0,0 +1,247 @@
+"""The real controllers as processes on 127.0.0.1, with the stand-ins behind sockets.
+
+Every controller has ports of its own for the state service and the cloud, so that the stand-ins
+know who asks. Times are real; scenes wait for events.
+"""
+
+from __future__ import annotations
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import curio
+
+from tests.standins import CloudService, Net, StateService, VirtualTime
+from tests.world import NAMES, ZONES, World
+from topazhold.core.leadership import LEADER_KEY
+from topazhold.io.client import Client
+from topazhold.io.http import Answer, NoAnswer, NotSent, Request
+from topazhold.io.server import Server
+from topazhold.settings import Settings
+from topazhold.wire.codec import unpack
+
+ROOT = Path(__file__).resolve().parent.parent
+LOOPBACK = "127.0.0.1"
+REPORT_S, LEASE_S, CANCEL_S = 0.25, 4.0, 8.0
+#: Time limit of what should come to be.
+PATIENCE_S = 40.0
+
+TEMPLATE = """
+node_name = "{name}"
+domain = "{zone}"
+bind = "127.0.0.1:{public}"
+peer_listen = "127.0.0.1:{peers}"
+{seeds}
+[outside]
+cloud = "127.0.0.1:{cloud}"
+state = "127.0.0.1:{state}"
+
+[cluster]
+zones = ["a", "b"]
+teams = [
+    {{ name = "red", gpus = 8.0, gpus_max = 20.0 }},
+    {{ name = "blue", gpus = 4.0, gpus_max = 12.0 }},
+]
+state = {{ rps = 1000.0, write_rps = 500.0, value_kb = 8.0, txn_ops = 8 }}
+cloud = {{ rps = 50.0, list_lag_s = 0.5 }}
+limits = {{ cpu_share = 1.0, mem_mb = 200.0, sockets = 300 }}
+
+[cluster.workers]
+report_s = {report_s}
+lease_s = {lease_s}
+cancel_s = {cancel_s}
+gang_wait_s = 20.0
+gang_peer_s = 4.0
+"""
+SEED = '[[seeds]]\nnode_name = "{name}"\ndomain = "{zone}"\naddr = "127.0.0.1:{peers}"\n'
+
+
+class SteadyTime(VirtualTime):
+    """The machine's steady clock, where the stand-ins expect a clock of their own."""
+
+    def __init__(self) -> None:
+        pass
+
+    @property
+    def now(self) -> float:  # type: ignore[override]
+        return time.monotonic()
+
+
+def free_port() -> int:
+    with socket.socket() as sock:
+        sock.bind((LOOPBACK, 0))
+        return int(sock.getsockname()[1])
+
+
+class SocketNet(Net):
+    """Requests to controllers go over TCP."""
+
+    def __init__(self, rng: Any, ports: dict[str, dict[str, int]]) -> None:
+        super().__init__(rng)
+        self._clients = {name: Client((LOOPBACK, of["public"]), 8) for name, of in ports.items()}
+
+    async def ask(
+        self, source: str, target: str, method: str, path: str, message: Any, timeout_s: float
+    ) -> tuple[int, bytes]:
+        return await self._clients[target].ask(method, path, message, timeout_s)
+
+
+class SocketCloud(CloudService):
+    """Each worker listens on a port of its own."""
+
+    async def add(self, zone: str, spot: bool, boots: bool = True) -> str:
+        name = await super().add(zone, spot, boots)
+        worker = self.workers[name]
+        port = free_port()
+        worker.host = f"{LOOPBACK}:{port}"
+        await curio.spawn(serve, port, lambda: worker.handle, "controller", daemon=True)
+        return name
+
+
+async def serve(port: int, handler: Callable[[], Any], source: str) -> None:
+    """Put a socket in front of a stand-in."""
+
+    async def handle(request: Request) -> Answer:
+        path = request.path + (f"?{request.query}" if request.query else "")
+        body = unpack(request.body) if request.body else None
+        try:
+            status, answer = await handler()(source, request.method, path, body)
+        except (NoAnswer, NotSent):
+            await curio.sleep(PATIENCE_S)  # whoever asked gives up before
+            return Answer(503)
+        return Answer(status, answer)
+
+    await Server(handle, 500, idle_s=60.0).run((LOOPBACK, port))
+
+
+class LoopbackWorld(World):
+    """Three controllers of the real program, and everything around them."""
+
+    def __init__(self, seed: int, folder: Path, operator: str, capacity: int = 9) -> None:
+        self.ports = {
+            name: {use: free_port() for use in ("public", "peers", "state", "cloud")}
+            for name in NAMES
+        }
+        super().__init__(SteadyTime(), seed, capacity)
+        self.net = SocketNet(self.rng, self.ports)
+        self.cloud = SocketCloud(self, self.rng, capacity)
+        self.state.on_change = self._changed
+        self.net.hosts[StateService.HOST] = self.state.handle
+        self.net.hosts[CloudService.HOST] = self.cloud.handle
+        self.settings: Settings = self.node_settings[NAMES[0]]
+        self.settings.cluster.workers.report_s = REPORT_S
+        self.settings.cluster.workers.lease_s = LEASE_S
+        self.settings.cluster.workers.cancel_s = CANCEL_S
+        self.settings.cluster.cloud.list_lag_s = 0.5
+        self.folder = folder
+        (folder / "operator.textproto").write_text(operator)
+        self.elected: list[tuple[float, str]] = []
+
+    def _changed(self, key: str, data: Any) -> None:
+        self.cloud.orders.stored(key, data)
+        if key == LEADER_KEY:
+            self.elected.append((self.clock.now, data["node"]))
+
+    def leader(self) -> str | None:
+        """Who holds the leadership key."""
+        value = self.state.data.get(LEADER_KEY)
+        return value[0]["node"] if value is not None else None
+
+    # -- processes -------------------------------------------------------------
+
+    def config(self, name: str) -> Path:
+        """The settings file of a controller."""
+        path = self.folder / f"{name}.toml"
+        seeds = "".join(
+            SEED.format(name=other, zone=ZONES[other], peers=self.ports[other]["peers"])
+            for other in NAMES
+            if other != name
+        )
+        path.write_text(
+            TEMPLATE.format(
+                name=name,
+                zone=ZONES[name],
+                seeds=seeds,
+                report_s=REPORT_S,
+                lease_s=LEASE_S,
+                cancel_s=CANCEL_S,
+                **self.ports[name],
+            )
+        )
+        return path
+
+    def start(self, name: str) -> None:
+        """Start a controller process."""
+        command = [sys.executable, "run.py", "--config", str(self.config(name))]
+        command += ["--operator", str(self.folder / "operator.textproto")]
+        with (self.folder / f"{name}.log").open("ab") as log:
+            self.nodes[name] = subprocess.Popen(command, cwd=ROOT, stderr=log)
+
+    def pause(self, name: str) -> None:
+        os.kill(self.nodes[name].pid, signal.SIGSTOP)
+
+    def go_on(self, name: str) -> None:
+        os.kill(self.nodes[name].pid, signal.SIGCONT)
+
+    def end_all(self) -> None:
+        for process in self.nodes.values():
+            process.kill()
+            process.wait()
+
+    def log_of(self, name: str) -> str:
+        return (self.folder / f"{name}.log").read_text()
+
+    # -- a scene -----------------------------------------------------------------
+
+    async def begin(self, machines: int) -> None:
+        """Start everything, and wait for a leader."""
+        for name, ports in self.ports.items():
+            for host in (StateService.HOST, CloudService.HOST):
+                port = ports["state" if host == StateService.HOST else "cloud"]
+                handler = self._current(host)
+                await curio.spawn(serve, port, handler, name, daemon=True)
+        await curio.spawn(self.steps, daemon=True)
+        for number in range(machines):
+            await self.cloud.add("ab"[number % 2], False)
+        for name in self.names:
+            self.start(name)
+        await self.until(lambda: self.leader() is not None)
+
+    def _current(self, host: str) -> Callable[[], Any]:
+        return lambda: self.net.hosts[host]
+
+    async def until(self, true: Callable[[], Any], most_s: float = PATIENCE_S) -> None:
+        """Wait for an event; the time limit only ends what hangs."""
+        end = self.clock.now + most_s
+        while not true():
+            assert self.clock.now < end, "it never came to be"
+            await curio.sleep(0.02)
+
+
+def play(
+    act: Callable[[LoopbackWorld], Awaitable[None]],
+    folder: Path,
+    seed: int = 1,
+    operator: str = "record_orders: true\n",
+) -> LoopbackWorld:
+    """Run a scene with real processes; they are ended whatever happens."""
+    worlds: list[LoopbackWorld] = []
+
+    async def main() -> None:
+        world = LoopbackWorld(seed, folder, operator)
+        worlds.append(world)
+        try:
+            await act(world)
+        finally:
+            world.end_all()
+            await curio.sleep(0.2)  # the last connections end before the kernel does
+
+    curio.run(main)
+    return worlds[0]
--- /dev/null
+++ b/tests/pause_scenes.py
@@ -0,0 +1,70 @@
+"""A controller process is stopped at a point of an order, replaced, and continued."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from pathlib import Path
+
+import curio
+
+from tests.loopback import LEASE_S, LoopbackWorld, play
+from tests.traps import Trap
+
+#: An order that the network holds is carried out so long after it was sent, and the stopped
+#: process goes on so long after its successor was elected.
+HELD_S = 8.0
+REPLACED_S = 1.0
+#: What a continued process may still do shows within this time.
+WATCHED_S = 3.0
+
+
+@dataclass(frozen=True)
+class PauseOutcome:
+    """What one scene has shown."""
+
+    orders: int  # that came to the cloud
+    executed: int  # of which something came
+    stale: int  # sent by who did not hold the duties any more
+    stale_effect: int  # of these, with an effect that no open record allowed
+    returned_twice: int  # machines with two decisions
+    broken: list[str]  # rules, these included
+    without_holder_s: float  # from the stop to the next election
+
+
+def play_pause(
+    folder: Path, point: str, kind: str, seed: int = 1, operator: str = "record_orders: true\n"
+) -> PauseOutcome:
+    """Stop the leader at a point of its first order, let another lead, let the first go on."""
+    stopped_at: list[float] = []
+    elected_at: list[float] = []
+
+    async def act(world: LoopbackWorld) -> None:
+        def stop(source: str) -> None:
+            world.pause(source)
+            stopped_at.append(world.clock.now)
+
+        # Half of the machines stay idle and are returned; three gangs need more than there is.
+        trap = Trap(world.net.hosts, point, kind, stop, HELD_S)
+        await world.begin(machines=4)
+        for number in range(3):
+            await curio.spawn(world.user, number, daemon=True)
+        await world.until(lambda: trap.source is not None)
+        former = trap.source
+        assert former is not None
+        await world.until(lambda: world.leader() not in (None, former))
+        elected_at.append(world.elected[-1][0])
+        await curio.sleep(REPLACED_S)
+        world.go_on(former)
+        await curio.sleep(max(WATCHED_S, HELD_S if point == "before_answer" else 0.0, LEASE_S))
+
+    world = play(act, folder, seed, operator)
+    history = world.cloud.orders
+    return PauseOutcome(
+        orders=history.received,
+        executed=len(history.executed),
+        stale=history.received_stale,
+        stale_effect=sum(done.stale and not done.recorded for done in history.executed),
+        returned_twice=world.broken.count("returned_twice"),
+        broken=world.broken,
+        without_holder_s=elected_at[0] - stopped_at[0],
+    )
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -769,7 +769,7 @@
     async def handle(self, source: str, method: str, path: str, body: Any) -> tuple[int, Any]:
         if self.down:
             return 503, {"error": "trouble"}
-        if path.startswith("/machines?"):
+        if method == "GET" and path.startswith("/machines"):
             lag = self.rng.uniform(0.0, 2.0) * self.world.settings.cluster.cloud.list_lag_s
             wanted = self.world.clock.now - lag
             old = [machine_names for at, machine_names in self.history if at <= wanted]
@@ -792,6 +792,7 @@
                     }
                 ]
             }
+        self.orders.arrived(source)
         if path == "/machines/release":
             await curio.sleep(0.2)
             there = [self.workers[name] for name in body["boxes"] if name in self.workers]
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Any
 
 import curio
 import pytest
 
 from tests.scenes import Scene, assert_rules, play_scene
-from tests.standins import CloudService, StateService, start_node
+from tests.standins import start_node
+from tests.traps import POINTS, Trap
 from tests.versions import production
 from topazhold.core.renting import Ask
 from topazhold.duties.book import MOST_KEPT, OrderBook
@@ -23,58 +23,12 @@
     read_record,
     write_record,
 )
-from topazhold.io.http import NoAnswer
 
-POINTS = ["before_record", "after_record", "before_answer", "after_answer"]
 #: Longer than a lease of a controller, by far.
 PAUSE_S = 30.0
 HELD_S = 120.0
 
 
-class Trap:
-    """Does something to the leader at one point of its first order of a kind."""
-
-    def __init__(self, scene: Scene, point: str, path: str, act: Callable[[str], None]) -> None:
-        self._scene, self._point, self._path, self._act = scene, point, path, act
-        self.source: str | None = None  # whose order it was
-        self._state = scene.net.hosts[StateService.HOST]
-        self._cloud = scene.net.hosts[CloudService.HOST]
-        scene.net.hosts[StateService.HOST] = self._on_state
-        scene.net.hosts[CloudService.HOST] = self._on_cloud
-
-    def _spring(self, source: str, point: str) -> bool:
-        if self.source is not None or point != self._point:
-            return False
-        self.source = source
-        self._act(source)
-        return True
-
-    async def _on_state(self, source: str, method: str, path: str, body: Any) -> tuple[int, Any]:
-        prefix = RETURN_PREFIX if self._path == "/machines/release" else RENTAL_PREFIX
-        puts = body["then"] if path == "/multi" else []
-        ours = any(str(change.get("put", "")).startswith(prefix) for change in puts)
-        if ours and self._spring(source, "before_record"):
-            return 503, {}
-        answer = await self._state(source, method, path, body)
-        if ours:
-            self._spring(source, "after_record")
-        return answer
-
-    async def _on_cloud(self, source: str, method: str, path: str, body: Any) -> tuple[int, Any]:
-        ours = method == "POST" and path == self._path
-        if ours and self._spring(source, "before_answer"):
-            await curio.spawn(self._carry_out_late, source, method, path, body, daemon=True)
-            raise NoAnswer("held by the network")
-        answer = await self._cloud(source, method, path, body)
-        if ours:
-            self._spring(source, "after_answer")
-        return answer
-
-    async def _carry_out_late(self, *request: Any) -> None:
-        await curio.sleep(HELD_S)
-        await self._cloud(*request)
-
-
 def freeze(scene: Scene) -> Callable[[str], None]:
     def act(source: str) -> None:
         scene.frozen[source] = scene.clock.now + PAUSE_S
@@ -140,11 +94,9 @@
 def test_paused_holder_goes_on_after_its_successors(
     point: str, kind: str, successors: int, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    path = "/machines/release" if kind == "return" else "/machines"
-
     async def act(scene: Scene) -> None:
         leader = await begin(scene)
-        trap = Trap(scene, point, path, freeze(scene))
+        trap = Trap(scene.net.hosts, point, kind, freeze(scene), HELD_S)
         await order(scene, leader, kind)
         await scene.until(lambda: trap.source is not None)
         assert trap.source == leader
@@ -166,11 +118,9 @@
 def test_state_service_fails_at_each_point(
     point: str, kind: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    path = "/machines/release" if kind == "return" else "/machines"
-
     async def act(scene: Scene) -> None:
         leader = await begin(scene)
-        trap = Trap(scene, point, path, state_fails(scene))
+        trap = Trap(scene.net.hosts, point, kind, state_fails(scene), HELD_S)
         await order(scene, leader, kind)
         await scene.until(lambda: trap.source is not None)
         await curio.sleep(PAUSE_S)
@@ -186,7 +136,7 @@
 ) -> None:
     async def act(scene: Scene) -> None:
         leader = await begin(scene)
-        trap = Trap(scene, point, "/machines/release", freeze(scene))
+        trap = Trap(scene.net.hosts, point, "return", freeze(scene), HELD_S)
         await order(scene, leader, "return")
         await scene.until(lambda: trap.source is not None)
         for name in list(scene.nodes):
@@ -229,7 +179,7 @@
                 taken.append(name)
                 scene.cloud.take(scene.cloud.workers[name])
 
-        Trap(scene, "after_record", "/machines/release", take)
+        Trap(scene.net.hosts, "after_record", "return", take, HELD_S)
         await order(scene, leader, "return")
         await scene.until(lambda: bool(taken))
         await settle(scene)
@@ -245,7 +195,7 @@
 
     async def act(scene: Scene) -> None:
         leader = await begin(scene)
-        trap = Trap(scene, "after_record", "/machines/release", freeze(scene))
+        trap = Trap(scene.net.hosts, "after_record", "return", freeze(scene), HELD_S)
         scene.cloud.down = True  # the successor can't complete it yet
         await order(scene, leader, "return")
         await scene.until(lambda: trap.source is not None)
@@ -270,7 +220,7 @@
     async def act(scene: Scene) -> None:
         scene.cloud.orders.judges = False  # production records nothing
         leader = await begin(scene)
-        trap = Trap(scene, "after_record", "/machines/release", freeze(scene))
+        trap = Trap(scene.net.hosts, "after_record", "return", freeze(scene), HELD_S)
         await order(scene, leader, "return")
         await scene.until(lambda: trap.source is not None)
         (name,) = scene.nodes[leader].leading.scheduler.releases
--- /dev/null
+++ b/tests/test_duties_records.py
@@ -0,0 +1,127 @@
+"""Schemas of stored orders, and the command that shows them."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import curio
+import jsonschema
+import pytest
+from click.testing import CliRunner
+
+from tests.loopback import NAMES, ROOT, LoopbackWorld, free_port, serve
+from tests.standins import StateService
+from tests.test_random_days import play
+from topazhold.cli import main
+from topazhold.core.leadership import LEADER_KEY
+from topazhold.duties.inspection import DUTIES
+from topazhold.duties.records import (
+    CLEANUP_PREFIX,
+    RECORD_TYPES,
+    RENTAL_PREFIX,
+    RETURN_PREFIX,
+    RecordError,
+    read_record,
+)
+from topazhold.duties.schemas import page, schema_of
+
+HEADER = {"by": "d4-1", "term": 4, "number": 1, "at": 1.0}
+SAMPLES: dict[str, dict[str, Any]] = {
+    RETURN_PREFIX: {"machines": {"host-1": "idle"}},
+    RENTAL_PREFIX: {
+        "request": "hive-0-4-1",
+        "machine_type": "b1",
+        "zone": "a",
+        "spot": False,
+        "count": 3,
+    },
+    CLEANUP_PREFIX: {"job": "wk-000001", "parts": [1, 2]},
+}
+KEY_END = "000000000004-00000001"
+
+
+def test_page_of_schemas_is_new() -> None:
+    assert (ROOT / "docs" / "duties-schemas.md").read_text() == page()
+
+
+def test_all_that_is_stored_fits_the_published_schemas(monkeypatch: pytest.MonkeyPatch) -> None:
+    world = play(30, ["cloud_held", "crash_leader"], monkeypatch, trouble_s=40.0, calm_s=60.0)
+    stored = [(key, data) for _, key, data in world.state.changes if data is not None]
+    checked = 0
+    for prefix in RECORD_TYPES:
+        for key, data in stored:
+            if key.startswith(prefix):
+                jsonschema.validate(data, schema_of(prefix))
+                checked += 1
+    assert checked > 5
+
+
+@pytest.mark.parametrize("prefix", list(SAMPLES))
+def test_schema_and_reader_refuse_the_same(prefix: str) -> None:
+    """A field that is missing, of another type, or out of its bounds."""
+    good = {**HEADER, **SAMPLES[prefix]}
+    key = prefix + KEY_END
+    jsonschema.validate(good, schema_of(prefix))
+    assert read_record(key, good).number == 1
+    for field in good:
+        without = {name: value for name, value in good.items() if name != field}
+        for odd in (without, {**good, field: []}, {**good, field: -1}, {**good, field: ""}):
+            with pytest.raises(jsonschema.ValidationError):
+                jsonschema.validate(odd, schema_of(prefix))
+            with pytest.raises(RecordError):
+                read_record(key, odd)
+
+
+def ask(world: LoopbackWorld, *options: str) -> subprocess.Popen[str]:
+    config = str(world.config(NAMES[0]))
+    command = [sys.executable, "run.py", "duties", "--config", config, *options]
+    pipe = subprocess.PIPE
+    return subprocess.Popen(command, cwd=ROOT, stdout=pipe, stderr=pipe, text=True)
+
+
+def test_command_shows_holder_and_orders(tmp_path: Path) -> None:
+    answers: list[str] = []
+
+    async def scene() -> None:
+        world = LoopbackWorld(1, tmp_path, "")
+        port = world.ports[NAMES[0]]["state"]
+        serving = await curio.spawn(serve, port, lambda: world.state.handle, NAMES[0])
+        world.state.data[LEADER_KEY] = ({"node": "hive-2", "crown": 4}, 7, None)
+        for number, (prefix, sample) in enumerate(SAMPLES.items()):
+            world.state.data[prefix + KEY_END] = ({**HEADER, **sample}, 8 + number, None)
+        world.state.data[f"{RETURN_PREFIX}odd"] = ({"machines": 1}, 20, None)
+        before = dict(world.state.data)
+        for options in ((), ("--json",)):
+            process = ask(world, *options)
+            while process.poll() is None:
+                await curio.sleep(0.05)
+            assert process.returncode == 0, process.communicate()
+            answers.append(process.communicate()[0])
+        assert world.state.data == before, "it changes nothing"
+        await serving.cancel()
+
+    curio.run(scene)
+    text, data = answers[0], json.loads(answers[1])
+    assert text.count("hive-2, term 4") == len(DUTIES) and "host-1 (idle)" in text
+    assert {order["kind"] for order in data["orders"]} == {
+        "return",
+        "rental",
+        "clean-up",
+        "unreadable",
+    }
+    assert all(len(line) <= 100 for line in text.splitlines())
+
+
+def test_command_without_state_service_or_settings(tmp_path: Path) -> None:
+    world = LoopbackWorld(1, tmp_path, "")
+    assert StateService.HOST in world.net.hosts  # made, but not served
+    world.ports[NAMES[0]]["state"] = free_port()
+    result = CliRunner().invoke(main, ["duties", "--config", str(world.config(NAMES[0]))])
+    assert result.exit_code == 3 and len(result.stderr.strip().splitlines()) == 1
+    assert "state service" in result.stderr
+    result = CliRunner().invoke(main, ["duties", "--config", str(tmp_path / "none.toml")])
+    assert result.exit_code == 2 and len(result.stderr.strip().splitlines()) == 1
--- /dev/null
+++ b/tools/schemas.py
@@ -0,0 +1,8 @@
+"""Prints the page of the stored records' schemas: `python -m tools.schemas`."""
+
+from __future__ import annotations
+
+from topazhold.duties.schemas import page
+
+if __name__ == "__main__":
+    print(page(), end="")
--- a/topazhold/cli.py
+++ b/topazhold/cli.py
@@ -13,6 +13,8 @@
 from topazhold import settings as conf
 
 OPERATOR_FILE = Path(__file__).resolve().parent.parent / "deploy" / "operator.textproto"
+#: Exit status of commands that find nobody to ask.
+UNREACHABLE_STATUS = 3
 LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
 
 
@@ -87,5 +89,24 @@
     click.echo(f"{config}: good, node {settings.node_name}")
 
 
+@main.command()
+@CONFIG
+@OPERATOR
+@click.option("--json", "as_json", is_flag=True, help="Print JSON instead of text.")
+def duties(config: Path, operator: Path | None, as_json: bool) -> None:
+    """Show who holds each duty, and all recorded orders; changes nothing."""
+    settings, _ = read_settings(config, operator)
+    import msgspec
+
+    from topazhold.duties.inspection import Unreachable, as_text, read_report
+
+    try:
+        report = read_report(settings)
+    except Unreachable as exc:
+        click.echo(f"topazhold: state service at {settings.outside.state}: {exc}", err=True)
+        sys.exit(UNREACHABLE_STATUS)
+    click.echo(msgspec.json.encode(report).decode() if as_json else as_text(report))
+
+
 if __name__ == "__main__":
     main()
--- /dev/null
+++ b/topazhold/duties/schemas.py
@@ -0,0 +1,33 @@
+"""The schemas of stored records, as JSON Schema made from the types."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import msgspec
+
+from topazhold.duties.records import RECORD_TYPES
+
+PREAMBLE = """# Schemas of stored orders
+
+Made from `topazhold/duties/records.py` by `python -m tools.schemas > docs/duties-schemas.md`; a test
+fails if this page is old. Keys are PREFIX, the term in 12 digits, `-`, and the number in 8 digits.
+"""
+
+
+def schema_of(prefix: str) -> dict[str, Any]:
+    """The JSON Schema of the values under a prefix, whole by itself."""
+    (schema,), components = msgspec.json.schema_components(
+        [RECORD_TYPES[prefix]], ref_template="#/$defs/{name}"
+    )
+    return {**schema, "$defs": components}
+
+
+def page() -> str:
+    """The page of all schemas."""
+    parts = [PREAMBLE]
+    for prefix in RECORD_TYPES:
+        text = json.dumps(schema_of(prefix), indent=2, sort_keys=True)
+        parts.append(f"\n## `{prefix}`\n\n```json\n{text}\n```\n")
+    return "".join(parts)
