--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Any
 
 import curio
 import pytest
 
 from tests.scenes import Scene, assert_rules, play_scene
-from tests.standins import start_node
+from tests.standins import CloudService, start_node
 from tests.traps import POINTS, Trap
 from tests.versions import production
 from topazhold.core.renting import Ask
@@ -169,6 +170,83 @@
     assert_rules(play_scene(act, monkeypatch))
 
 
+@pytest.mark.parametrize("status", [400, 429, 503])
+def test_cloud_refuses_then_gives_a_part(status: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    """A request is repeated under its name; what is refused for good is given up."""
+
+    async def act(scene: Scene) -> None:
+        leader = await begin(scene)
+        cloud = scene.net.hosts[CloudService.HOST]
+        asked: list[str] = []
+
+        async def refuse(source: str, method: str, path: str, body: Any) -> tuple[int, Any]:
+            if method == "POST" and path == "/machines" and len(asked) < 3:
+                asked.append(body["swarm_ask"])
+                return status, {"error": "trouble"}
+            return await cloud(source, method, path, body)
+
+        scene.net.hosts[CloudService.HOST] = refuse
+        await order(scene, leader, "rental")
+        await scene.until(lambda: len(asked) == 3)
+        repeated = len(set(asked)) < 3
+        assert repeated == (status != 400)
+        await scene.until(lambda: scene.cloud.asks and len(scene.cloud.workers) == 8)
+        await settle(scene)
+
+    assert_rules(play_scene(act, monkeypatch))
+
+
+def test_forced_return_is_made_known(monkeypatch: pytest.MonkeyPatch) -> None:
+    """In an outage a machine with a cancelled task goes without a record; all learn of it."""
+
+    async def act(scene: Scene) -> None:
+        leader = await begin(scene)
+        via = scene.others(leader)[0]
+        (job,) = await scene.jobs_running(1, via, tasks=1, gpus=1.0)
+        (worker,) = [w for w in scene.cloud.workers.values() if job in w.hosted]
+        worker.hanging_until = scene.clock.now + 500.0
+        assert await scene.cancel(job, via) == 200
+        await curio.sleep(0.5)
+        scene.state.set_down(True)
+        await scene.until(lambda: worker.gone)
+        await curio.sleep(1.0)
+        assert scene.cloud.orders.forced == [worker.name]
+        for node in scene.nodes.values():
+            assert worker.name in node.released.names()
+        await curio.sleep(20.0)
+        scene.state.set_down(False)
+        await scene.end(leader)
+        new = await scene.new_leader(leader)
+        assert worker.name not in scene.nodes[new].leading.scheduler.machines
+        await settle(scene)
+
+    assert_rules(play_scene(act, monkeypatch))
+
+
+def test_return_of_a_machine_with_a_launch_under_way(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Its intents are written; the holder stops before it answers, the next returns it."""
+
+    async def act(scene: Scene) -> None:
+        leader = await begin(scene)
+        idle = next(w for w in scene.cloud.workers.values() if not w.present())
+        await scene.submit(scene.others(leader)[0], 10.0, tasks=4, gpus=4.0)
+        written = "on/"
+        await scene.until(
+            lambda: any(
+                key.startswith(written) and idle.name in data["boxes"]
+                for key, (data, _, _) in scene.state.data.items()
+            )
+        )
+        scene.frozen[leader] = scene.clock.now + PAUSE_S
+        new = await scene.new_leader(leader)
+        scheduler = scene.nodes[new].leading.scheduler
+        scheduler.release(scheduler.machines[idle.name], "chosen", scene.clock.now)
+        await scene.until(lambda: idle.gone)
+        await settle(scene)
+
+    assert_rules(play_scene(act, monkeypatch))
+
+
 def test_spot_machine_is_taken_while_its_return_is_open(monkeypatch: pytest.MonkeyPatch) -> None:
     async def act(scene: Scene) -> None:
         leader = await begin(scene)
