The lease, the election and the peers' messages leave node.py

Change: control/election.py (lease and election), control/peer_messages.py (a typed tuple for each tag, in the order that production knows). No change of behaviour.

--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -217,11 +217,13 @@
     def _current(self, host: str) -> Callable[[], Any]:
         return lambda: self.net.hosts[host]
 
-    async def until(self, true: Callable[[], Any], most_s: float = PATIENCE_S) -> None:
+    async def until(
+        self, true: Callable[[], Any], what: str = "it", most_s: float = PATIENCE_S
+    ) -> None:
         """Wait for an event; the time limit only ends what hangs."""
         end = self.clock.now + most_s
         while not true():
-            assert self.clock.now < end, "it never came to be"
+            assert self.clock.now < end, f"{what} never came to be"
             await curio.sleep(0.02)
 
 
--- a/tests/pause_scenes.py
+++ b/tests/pause_scenes.py
@@ -48,10 +48,10 @@
         await world.begin(machines=4)
         for number in range(3):
             await curio.spawn(world.user, number, daemon=True)
-        await world.until(lambda: trap.source is not None)
+        await world.until(lambda: trap.source is not None, f"a {kind}")
         former = trap.source
         assert former is not None
-        await world.until(lambda: world.leader() not in (None, former))
+        await world.until(lambda: world.leader() not in (None, former), "a successor")
         elected_at.append(world.elected[-1][0])
         await curio.sleep(REPLACED_S)
         world.go_on(former)
--- a/tests/test_booking.py
+++ b/tests/test_booking.py
@@ -11,7 +11,7 @@
 from tests.conftest import make_spec
 from tests.standins import settings_for
 from topazhold.control.booking import Booking, View, Wanted, searches_beside
-from topazhold.control.node import GRANT_BOUNDS, lease_time_s
+from topazhold.control.election import GRANT_BOUNDS, lease_time_s
 from topazhold.core.holds import Hold, HoldTable
 from topazhold.core.jobs import Job
 from topazhold.core.preemption import turn
--- a/tests/test_compat.py
+++ b/tests/test_compat.py
@@ -206,9 +206,10 @@
 
 def rename_leader_key(patch: pytest.MonkeyPatch) -> None:
     """Two leaders: each version elects its own."""
-    from topazhold.control import node, term_context
+    from topazhold.control import election, term_context
+    from topazhold.duties import holder
 
-    for module in (leadership, node, term_context):
+    for module in (leadership, election, term_context, holder):
         patch.setattr(module, "LEADER_KEY", "leader/now")
 
 
--- a/tools/pauses.py
+++ b/tools/pauses.py
@@ -27,7 +27,7 @@
         try:
             return play_pause(Path(folder), point, kind, seed, operator)
         except Exception as exc:  # a scene that hangs or crashes is a result, too
-            return f"{type(exc).__name__}: {exc}"
+            return f"{kind}, {point}, seed {seed}: {type(exc).__name__}: {exc}"
 
 
 def row(kind: str, point: str, outcomes: list[PauseOutcome | str]) -> str:
@@ -59,7 +59,7 @@
     click.echo(f"record_orders: {record}; loopback")
     click.echo(HEADINGS)
     click.echo("|" + " --- |" * HEADINGS.count(" | ") + " --- |")
-    failures: set[str] = set()
+    failures: list[str] = []
     with ProcessPoolExecutor(workers) as pool:
         for kind in KINDS:
             for point in POINTS:
@@ -70,8 +70,8 @@
                 ]
                 outcomes = [each.result() for each in tries]
                 click.echo(row(kind, point, outcomes))
-                failures |= {outcome for outcome in outcomes if isinstance(outcome, str)}
-    for failure in sorted(failures):
+                failures += [outcome for outcome in outcomes if isinstance(outcome, str)]
+    for failure in failures:
         click.echo(f"failed: {failure[:300]}")
 
 
--- a/topazhold/control/cancellation_exchange.py
+++ b/topazhold/control/cancellation_exchange.py
@@ -4,10 +4,10 @@
 
 import time
 from collections.abc import Awaitable, Callable, Mapping
-from typing import Any
 
 import curio
 
+from topazhold.control.peer_messages import CANCELLED, RECEIPT, Cancelled, Receipt
 from topazhold.core.cancellations import Cancellations
 from topazhold.io.links import Link, encode
 
@@ -15,7 +15,7 @@
 RECEIPT_REPORTS = 0.1
 
 #: Tells whoever leads here of a cancelled job and the time of day of its confirmation.
-Cancelled = Callable[[str, float], Awaitable[None]]
+TellCancelled = Callable[[str, float], Awaitable[None]]
 
 
 class CancellationExchange:
@@ -32,7 +32,7 @@
         cancellations: Cancellations,
         links: Mapping[str, Link],
         hears_peers: Callable[[float], bool],
-        cancelled: Cancelled,
+        cancelled: TellCancelled,
     ) -> None:
         self._node = node
         self._report_s = report_s
@@ -66,20 +66,21 @@
         news = self._cancellations.news(peer)
         link = self._links.get(peer)
         if news is not None and link is not None:
-            await link.send(encode(("cancelled", self._node, self._cancellations.boot, *news)))
+            message = Cancelled(CANCELLED, self._node, self._cancellations.boot, *news)
+            await link.send(encode(message))
 
-    async def hear_news(self, message: tuple[Any, ...]) -> None:
+    async def hear_news(self, news: Cancelled) -> None:
         """A peer's message with cancellations; it is acknowledged."""
-        _, peer, boot, after, upto, entries = message
+        peer = str(news.node)
         fresh = self._cancellations.receive(
-            str(peer), str(boot), int(after), int(upto), entries, time.time()
+            peer, str(news.boot), int(news.after), int(news.upto), news.entries, time.time()
         )
         for job, at in fresh:
             await self._cancelled(job, at)
-        link = self._links.get(str(peer))
+        link = self._links.get(peer)
         if link is not None:
-            receipt = self._cancellations.receipts()[str(peer)]
-            await link.send(encode(("receipt", self._node, *receipt)))
+            boot, upto = self._cancellations.receipts()[peer]
+            await link.send(encode(Receipt(RECEIPT, self._node, boot, upto)))
 
     async def hear_receipt(self, peer: str, boot: str, upto: int) -> None:
         """A peer acknowledges all up to a number; what it still lacks is sent."""
--- /dev/null
+++ b/topazhold/control/election.py
@@ -0,0 +1,228 @@
+"""A controller's lease in the state service, and its part in the election of the leader."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import curio
+
+from topazhold.control.store import LEASES, TROUBLE, Conflict, Store, WatchLost
+from topazhold.core.leadership import LEADER_KEY, TERM_KEY, Leadership, Role, read_value
+from topazhold.settings import Settings
+from topazhold.wire import messages as wire
+from topazhold.wire.messages import Entry
+
+log = logging.getLogger(__name__)
+
+#: A lease's time, as a share of the workers' lease, and its bounds in seconds.
+GRANT_LEASES = 0.15
+GRANT_BOUNDS = (1.5, 3.5)
+#: Seconds of a whole core that a lease outlasts at the least. A few pieces of work may come
+#: before its renewal; on half the processor that it has there, a leader of 168 machines lost
+#: its lease every few seconds, and each successor soon lost its own.
+GRANT_CORE_S = 0.2
+#: Steady clocks drift; a lease is taken to end this much earlier.
+DRIFT = 0.002
+#: Shares of a lease's time: between renewals, between tries of what failed, and between
+#: looks at a leadership that is vacant while this controller may not stand.
+RENEW_GRANTS = 0.25
+RETRY_GRANTS = 0.1
+VACANT_GRANTS = 0.05
+#: Lease times that a watch of the leadership key waits.
+WATCH_GRANTS = 4
+
+
+def lease_time_s(settings: Settings) -> float:
+    """How long a controller's lease lasts; the leadership and the holds hang on it."""
+    low, high = GRANT_BOUNDS
+    cluster = settings.cluster
+    by_workers = GRANT_LEASES * cluster.workers.lease_s
+    by_processor = GRANT_CORE_S / max(cluster.limits.cpu_share, GRANT_CORE_S / high)
+    return min(high, max(low, by_workers, by_processor))
+
+
+class ControllerLease:
+    """One lease at a time, renewed for as long as the state service allows.
+
+    `granted` is called for each new lease, `ended` when one was not renewed in time, and
+    `renewed` after each renewal.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        grant_s: float,
+        granted: Callable[[], None],
+        ended: Callable[[str], Awaitable[None]],
+        renewed: Callable[[], Awaitable[None]],
+    ) -> None:
+        self._store = store
+        self._grant_s = grant_s
+        self._granted = granted
+        self._ended = ended
+        self._renewed = renewed
+        self.id: int | None = None
+        self.valid_until = 0.0  # it can't have ended before
+
+    def assured(self, now: float) -> bool:
+        """Whether the lease can't have passed on."""
+        return now < self.valid_until
+
+    async def loop(self) -> None:
+        """Keep a lease; the leadership and the holds hang on it."""
+        while True:
+            sent = await curio.clock()
+            try:
+                if self.id is None:
+                    self.id = await self._store.grant(self._grant_s)
+                    self._granted()
+                    log.info("lease %d granted", self.id)
+                elif not await self._store.touch(self.id):
+                    log.info("lease %d ended", self.id)
+                    self.id = None
+                    await self._ended("the lease ended")
+                    continue
+                self.valid_until = sent + self._grant_s * (1 - DRIFT)
+            except TROUBLE as exc:
+                log.debug("lease: %s", exc)
+                await curio.sleep(RETRY_GRANTS * self._grant_s)
+                continue
+            await self._renewed()
+            await curio.sleep(RENEW_GRANTS * self._grant_s)
+
+    async def drop(self) -> None:
+        """End the lease, so that others need not wait for it to lapse."""
+        lease_id, self.id = self.id, None
+        if lease_id is not None:
+            try:
+                await self._store.end_grant(lease_id)
+            except TROUBLE as exc:
+                log.debug("lease not dropped: %s", exc)
+
+
+class Election:
+    """Follows the leadership key, and stands when it is free.
+
+    `elected` is called with the term and the key's revision, `deposed` with the reason when
+    another leader is seen.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        leadership: Leadership,
+        lease: ControllerLease,
+        grant_s: float,
+        elected: Callable[[int, int], Awaitable[None]],
+        deposed: Callable[[str], Awaitable[None]],
+    ) -> None:
+        self._store = store
+        self._leadership = leadership
+        self._lease = lease
+        self._grant_s = grant_s
+        self._elected = elected
+        self._deposed = deposed
+        self._barred_until = 0.0
+
+    def bar(self, until: float) -> None:
+        """Don't stand before."""
+        self._barred_until = until
+
+    async def loop(self) -> None:
+        """Follow the leadership key; stand when it is free."""
+        while True:
+            try:
+                entry = await self._store.get(LEADER_KEY, LEASES)
+                if entry is None:
+                    await self._meet_vacancy()
+                elif not await self._end_former_self(entry):
+                    await self._see_leader(entry.data)
+                    await self._follow(entry.revision)
+            except WatchLost:
+                continue
+            except TROUBLE as exc:
+                log.debug("leadership: %s", exc)
+                await curio.sleep(RETRY_GRANTS * self._grant_s)
+
+    async def _meet_vacancy(self) -> None:
+        self._leadership.vacant()
+        free = self._leadership.role is Role.FOLLOWER
+        barred = await curio.clock() < self._barred_until
+        if self._lease.id is not None and free and not barred:
+            await self._stand(self._lease.id)
+        else:
+            await curio.sleep(VACANT_GRANTS * self._grant_s)
+
+    async def _end_former_self(self, entry: Entry) -> bool:
+        """End a term left over from an earlier life of this node.
+
+        That process is dead and nobody commands in its name, so there is no
+        need to wait for its lease to lapse. The same goes for an election won
+        without an answer.
+        """
+        value = read_value(entry.data)
+        if value is None or value[0] != self._leadership.node or self._leadership.leads:
+            return False
+        if entry.lease_id is None:
+            return False
+        log.info("ending the lease %d of an earlier life", entry.lease_id)
+        await self._store.end_grant(entry.lease_id)
+        if entry.lease_id == self._lease.id:
+            self._lease.id = None
+        return True
+
+    async def _follow(self, seen_revision: int) -> None:
+        """Wait until the leadership key is free."""
+        while True:
+            page = await self._store.watch(LEADER_KEY, seen_revision, WATCH_GRANTS * self._grant_s)
+            seen_revision = max(seen_revision, page.revision)
+            for event in page.events:
+                key, data, _ = wire.event_key(event)
+                if key != LEADER_KEY:
+                    continue
+                if data is None:
+                    log.info("the leadership is vacant")
+                    return
+                await self._see_leader(data)
+
+    async def _see_leader(self, data: Any) -> None:
+        value = read_value(data)
+        if value is None:
+            return
+        leader, term = value
+        if leader == self._leadership.node:
+            return
+        if self._leadership.learn(leader, term):
+            await self._deposed("another leader was elected")
+
+    async def _stand(self, lease_id: int) -> None:
+        """Try for the key with the next term."""
+        lead = self._leadership
+        lead.stand()
+        try:
+            last = await self._store.get(TERM_KEY, LEASES)
+            term = max(lead.term, int(last.data["crown"]) if last is not None else 0) + 1
+            token = f"{lead.node}-{lease_id}-{term}"
+            value = {**lead.value(term), "by": token}
+            revision = await self._store.commit(
+                [(LEADER_KEY, 0), (TERM_KEY, last.revision if last is not None else 0)],
+                [wire.put(LEADER_KEY, value, lease_id), wire.put(TERM_KEY, value)],
+                LEASES,
+                LEADER_KEY,
+                token,
+                give_up_s=self._grant_s,
+            )
+        except Conflict:
+            lead.step_down()
+            return
+        except TROUBLE:
+            lead.step_down()
+            raise
+        if self._lease.id != lease_id:
+            lead.step_down()
+            return
+        lead.win(term)
+        log.info("node %s elected leader, term %d", lead.node, term)
+        await self._elected(term, revision)
--- a/topazhold/control/node.py
+++ b/topazhold/control/node.py
@@ -13,26 +13,37 @@
 from topazhold.control.booking import Booking, View
 from topazhold.control.cancellation_exchange import CancellationExchange
 from topazhold.control.cloud import Cloud, CloudDown
+from topazhold.control.election import ControllerLease, Election, lease_time_s
 from topazhold.control.enforcing import Enforcer
 from topazhold.control.gang_search import GangSearch
 from topazhold.control.leading import Leading
+from topazhold.control.peer_messages import (
+    CANCELLED,
+    PING,
+    PLACED,
+    RECEIPT,
+    RELAY,
+    RELEASED,
+    SUMMARY,
+    Cancelled,
+    Ping,
+    Placed,
+    Receipt,
+    Relay,
+    Released,
+    Summary,
+)
 from topazhold.control.relay import SILENT_GRANTS, WorkerFallback
 from topazhold.control.report_relay import ReportRelay
-from topazhold.control.store import (
-    LEASES,
-    TROUBLE,
-    Conflict,
-    Store,
-    WatchLost,
-)
+from topazhold.control.store import Store
 from topazhold.control.users import Users, users_request
 from topazhold.core.cancellations import Cancellations
 from topazhold.core.holds import HoldTable
 from topazhold.core.jobs import NO_AIM, Job
-from topazhold.core.leadership import LEADER_KEY, TERM_KEY, Leadership, Role, read_value
+from topazhold.core.leadership import Leadership
 from topazhold.core.placements import Placements
 from topazhold.core.search import pack_names, unpack_names
-from topazhold.duties.released import RELEASED, Released, ReleasedMachines, released_message
+from topazhold.duties.released import ReleasedMachines
 from topazhold.io.account import Account, Duty
 from topazhold.io.client import Client
 from topazhold.io.http import Answer, Request
@@ -41,36 +52,18 @@
 from topazhold.settings import Operator, Settings, address
 from topazhold.wire import messages as wire
 from topazhold.wire.codec import BadMessage, read
-from topazhold.wire.messages import Commands, Entry, MachineType, Report
+from topazhold.wire.messages import Commands, MachineType, Report
 
 log = logging.getLogger(__name__)
 
-#: A lease's time, as a share of the workers' lease, and its bounds in seconds.
-GRANT_LEASES = 0.15
-GRANT_BOUNDS = (1.5, 3.5)
-#: Seconds of a whole core that a lease outlasts at the least. A few pieces of work may come
-#: before its renewal; on half the processor that it has there, a leader of 168 machines lost
-#: its lease every few seconds, and each successor soon lost its own.
-GRANT_CORE_S = 0.2
 #: The most time that a round of searches takes, as a share of a lease's.
 ROUND_GRANTS = 0.1
-#: Steady clocks drift; a lease is taken to end this much earlier.
-DRIFT = 0.002
 #: The catalog's prices move slowly.
 CATALOG_REPORTS = 60
 #: Share of the sockets for those who connect to this node.
 SERVED_SHARE = 0.8
 
 
-def lease_time_s(settings: Settings) -> float:
-    """How long a controller's lease lasts; the leadership and the holds hang on it."""
-    low, high = GRANT_BOUNDS
-    cluster = settings.cluster
-    by_workers = GRANT_LEASES * cluster.workers.lease_s
-    by_processor = GRANT_CORE_S / max(cluster.limits.cpu_share, GRANT_CORE_S / high)
-    return min(high, max(low, by_workers, by_processor))
-
-
 class Node:
     """A controller process."""
 
@@ -138,11 +131,14 @@
             time.monotonic(),
             workers.cancel_s,
         )
-        self.barred_until = 0.0
         self.leading: Leading | None = None
-        self.lease_id: int | None = None
-        self.valid_until = 0.0
-        self._election = curio.Event()
+        self._changed = curio.Event()  # of the lease or the leadership
+        self.lease = ControllerLease(
+            self.store, self.grant_s, self.booking.reset, self._depose, self._changed.set
+        )
+        self.election = Election(
+            self.store, self.leadership, self.lease, self.grant_s, self._elected, self._depose
+        )
         self.links = {seed.node_name: Link(address(seed.addr), 0.5) for seed in settings.seeds}
         self.cancellation_exchange = CancellationExchange(
             self.name,
@@ -167,7 +163,7 @@
             self.booking,
             self.view,
             lambda: self.leading,
-            lambda: self.lease_id,
+            lambda: self.lease.id,
         )
         self.report_relay = ReportRelay(
             settings,
@@ -175,7 +171,7 @@
             self.leadership,
             self.fallback,
             self.links,
-            lambda: self.lease_id,
+            lambda: self.lease.id,
         )
         self._share(False)
 
@@ -215,8 +211,8 @@
         """All that goes on besides answering requests."""
         async with curio.TaskGroup(wait=any) as group:
             for duty, loop in (
-                (Duty.STATE, self._lease_loop),
-                (Duty.STATE, self._leader_loop),
+                (Duty.STATE, self.lease.loop),
+                (Duty.STATE, self.election.loop),
                 (Duty.OTHER, self._leading_loop),
                 (Duty.CLOUD, self._catalog_loop),
                 (Duty.PEERS, self._ping_loop),
@@ -281,7 +277,7 @@
         if self.fallback.isolated(self._served(now), now):
             # Nothing that this node hears reaches anybody: not even a leader may
             # hold workers here, once its grant may have passed on.
-            if now > self.valid_until:
+            if not self.lease.assured(now):
                 if not (self._informed(now) and self.fallback.keeps_isolated(rep, now)):
                     return Answer(421, wire.redirect(None))
         if leading is None or not lead.leads:
@@ -344,129 +340,10 @@
             return job.running_count() if job is not None else 0
         return self.view.running.get(job_id, 0)
 
-    # -- the lease -----------------------------------------------------------
-
-    async def _lease_loop(self) -> None:
-        """Keep one grant; the leadership and the holds hang on it."""
-        while True:
-            sent = await curio.clock()
-            try:
-                if self.lease_id is None:
-                    self.lease_id = await self.store.grant(self.grant_s)
-                    self.booking.reset()
-                    log.info("lease %d granted", self.lease_id)
-                elif not await self.store.touch(self.lease_id):
-                    log.info("lease %d ended", self.lease_id)
-                    self.lease_id = None
-                    await self._depose("the lease ended")
-                    continue
-                self.valid_until = sent + self.grant_s * (1 - DRIFT)
-            except TROUBLE as exc:
-                log.debug("lease: %s", exc)
-                await curio.sleep(0.1 * self.grant_s)
-                continue
-            await self._election.set()
-            await curio.sleep(self.grant_s / 4)
-
-    # -- elections -----------------------------------------------------------
-
-    async def _leader_loop(self) -> None:
-        """Follow the leadership key; stand when it is free."""
-        while True:
-            try:
-                entry = await self.store.get(LEADER_KEY, LEASES)
-                seen_revision = entry.revision if entry is not None else None
-                if entry is None:
-                    self.leadership.vacant()
-                    free = self.leadership.role is Role.FOLLOWER
-                    barred = await curio.clock() < self.barred_until
-                    if self.lease_id is not None and free and not barred:
-                        await self._stand()
-                    else:
-                        await curio.sleep(0.05 * self.grant_s)
-                    continue
-                if await self._former_self(entry):
-                    continue
-                await self._seen_leader(entry.data, entry.revision)
-                await self._follow(seen_revision or 0)
-            except WatchLost:
-                continue
-            except TROUBLE as exc:
-                log.debug("leadership: %s", exc)
-                await curio.sleep(0.1 * self.grant_s)
-
-    async def _former_self(self, entry: Entry) -> bool:
-        """End a term left over from an earlier life of this node.
-
-        That process is dead and nobody commands in its name, so there is no
-        need to wait for its lease to lapse. The same goes for an election won
-        without an answer.
-        """
-        value = read_value(entry.data)
-        if value is None or value[0] != self.name or self.leadership.leads:
-            return False
-        if entry.lease_id is None:
-            return False
-        log.info("ending the lease %d of an earlier life", entry.lease_id)
-        await self.store.end_grant(entry.lease_id)
-        if entry.lease_id == self.lease_id:
-            self.lease_id = None
-        return True
-
-    async def _follow(self, seen_revision: int) -> None:
-        """Wait until the leadership key changes."""
-        while True:
-            page = await self.store.watch(LEADER_KEY, seen_revision, 4 * self.grant_s)
-            seen_revision = max(seen_revision, page.revision)
-            for event in page.events:
-                key, data, revision = wire.event_key(event)
-                if key != LEADER_KEY:
-                    continue
-                if data is None:
-                    log.info("the leadership is vacant")
-                    return
-                await self._seen_leader(data, revision)
-
-    async def _seen_leader(self, data: Any, revision: int) -> None:
-        value = read_value(data)
-        if value is None:
-            return
-        leader, term = value
-        lead = self.leadership
-        if leader == self.name:
-            return
-        if lead.learn(leader, term):
-            await self._depose("another leader was elected")
+    # -- the term ------------------------------------------------------------
 
-    async def _stand(self) -> None:
-        lead = self.leadership
-        lease_id = self.lease_id
-        assert lease_id is not None
-        lead.stand()
-        try:
-            last = await self.store.get(TERM_KEY, LEASES)
-            term = max(lead.term, int(last.data["crown"]) if last is not None else 0) + 1
-            token = f"{self.name}-{lease_id}-{term}"
-            value = {**lead.value(term), "by": token}
-            revision = await self.store.commit(
-                [(LEADER_KEY, 0), (TERM_KEY, last.revision if last is not None else 0)],
-                [wire.put(LEADER_KEY, value, lease_id), wire.put(TERM_KEY, value)],
-                LEASES,
-                LEADER_KEY,
-                token,
-                give_up_s=self.grant_s,
-            )
-        except Conflict:
-            lead.step_down()
-            return
-        except TROUBLE:
-            lead.step_down()
-            raise
-        if self.lease_id != lease_id:
-            lead.step_down()
-            return
-        lead.win(term)
-        log.info("node %s elected leader, term %d", self.name, term)
+    async def _elected(self, term: int, revision: int) -> None:
+        """Begin a term."""
         self._share(True)
         self.leading = Leading(
             self.settings,
@@ -481,14 +358,14 @@
             await curio.clock(),
             self._tell,
             self._dial,
-            lambda now: now < self.valid_until,
+            self.lease.assured,
             self.cancellations,
             self.account,
             self.grant_s,
             self.released,
             self._tell_released,
         )
-        await self._election.set()
+        await self._changed.set()
         await self._ping()
 
     async def _depose(self, why: str) -> None:
@@ -501,33 +378,24 @@
             self.placements.told(self.leading.term, self.leading.placed())
         self.leading = None
         self._share(False)
-        await self._election.set()
+        await self._changed.set()
 
     async def _leading_loop(self) -> None:
         """Run the term's loops for as long as it lasts."""
         while True:
-            await self._election.wait()
-            self._election.clear()
+            await self._changed.wait()
+            self._changed.clear()
             leading = self.leading
             if leading is None:
                 continue
             task = await curio.spawn(leading.run)
             while self.leading is leading and not task.terminated:
-                await curio.ignore_after(0.25 * self.grant_s, self._election.wait)
-                self._election.clear()
+                await curio.ignore_after(0.25 * self.grant_s, self._changed.wait)
+                self._changed.clear()
             await task.cancel()
             if self.leading is leading:
                 await self._depose("its loops ended")
-                await self._drop_lease()
-
-    async def _drop_lease(self) -> None:
-        """Free the leadership at once, so that others need not wait for it to lapse."""
-        lease_id, self.lease_id = self.lease_id, None
-        if lease_id is not None:
-            try:
-                await self.store.end_grant(lease_id)
-            except TROUBLE as exc:
-                log.debug("lease not dropped: %s", exc)
+                await self.lease.drop()
 
     # -- peers ---------------------------------------------------------------
 
@@ -545,8 +413,8 @@
         cancellations = self.cancellations
         enforces = silent is not None or bool(self.placements.places)
         await self._tell(
-            (
-                "ping",
+            Ping(
+                PING,
                 self.name,
                 lead.term,
                 lead.leader or "",
@@ -567,46 +435,52 @@
         """A message of another controller: hints only."""
         self.account.enter(Duty.PEERS)
         tag = message[0]
-        if tag == "ping":
-            _, peer, term, leader, silent, served, enforces, record, receipts = message
-            from_leader = silent is not None and peer == leader
-            now = await curio.clock()
-            self.fallback.heard(
-                str(peer),
-                bool(served),
-                unpack_names(silent) if from_leader else None,
-                now,
-                bool(enforces),
+        if tag == PING:
+            await self._hear_ping(Ping(*message))
+        elif tag == CANCELLED:
+            await self.cancellation_exchange.hear_news(Cancelled(*message))
+        elif tag == RECEIPT:
+            receipt = Receipt(*message)
+            await self.cancellation_exchange.hear_receipt(
+                str(receipt.node), str(receipt.boot), int(receipt.upto)
             )
-            if from_leader:
-                self._leader_loaded = (str(peer), now)
-            await self._level(str(peer), record, receipts)
-            if leader and int(term) >= self.leadership.term:
-                if self.leadership.learn(str(leader), int(term)):
-                    await self._depose("a peer follows a later leader")
-        elif tag == "cancelled":
-            await self.cancellation_exchange.hear_news(message)
-        elif tag == "receipt":
-            _, peer, boot, upto = message
-            await self.cancellation_exchange.hear_receipt(str(peer), str(boot), int(upto))
         elif tag == RELEASED:
             await self._hear_released(Released(*message).machines)
-        elif tag == "placed":
-            _, term, items = message
+        elif tag == PLACED:
+            placed = Placed(*message)
             if self.leading is None or not self.leading.loaded:
-                self.placements.told(int(term), items)
-        elif tag == "relay":
-            _, term, reports = message
-            if self.leading is not None and self.leading.term == int(term):
-                await self.leading.relayed(reports)
-        elif tag == "summary":
-            _, term, values = message
-            if int(term) >= self.leadership.term and self.leading is None:
-                self.gang_search.read_summary(values, await curio.clock())
+                self.placements.told(int(placed.term), placed.items)
+        elif tag == RELAY:
+            relay = Relay(*message)
+            if self.leading is not None and self.leading.term == int(relay.term):
+                await self.leading.relayed(relay.reports)
+        elif tag == SUMMARY:
+            summary = Summary(*message)
+            if int(summary.term) >= self.leadership.term and self.leading is None:
+                self.gang_search.read_summary(summary.values, await curio.clock())
+
+    async def _hear_ping(self, ping: Ping) -> None:
+        """A peer lives; what it knows of the leader and of cancellations."""
+        peer = str(ping.node)
+        from_leader = ping.silent is not None and ping.node == ping.leader
+        now = await curio.clock()
+        self.fallback.heard(
+            peer,
+            bool(ping.served),
+            unpack_names(ping.silent) if from_leader else None,
+            now,
+            bool(ping.enforces),
+        )
+        if from_leader:
+            self._leader_loaded = (peer, now)
+        await self._level(peer, ping.record, ping.receipts)
+        if ping.leader and int(ping.term) >= self.leadership.term:
+            if self.leadership.learn(str(ping.leader), int(ping.term)):
+                await self._depose("a peer follows a later leader")
 
     async def _tell_released(self, machines: list[str]) -> None:
         """The cloud has confirmed a release that is not recorded: the others must know."""
-        await self._tell(released_message(self.name, machines))
+        await self._tell(Released(RELEASED, self.name, machines))
         await self._hear_released(machines)
 
     async def _hear_released(self, machines: list[str]) -> None:
@@ -639,9 +513,9 @@
             if leading is None or not leading.loaded or not leading.scheduler.cut_from_workers(now):
                 continue
             log.info("node %s hears too few of the workers that others hear", self.name)
-            self.barred_until = now + 2 * lease_s
+            self.election.bar(now + 2 * lease_s)
             await self._depose("cut from the workers")
-            await self._drop_lease()
+            await self.lease.drop()
 
     # -- the catalog -------------------------------------------------------------
 
--- a/topazhold/control/report_relay.py
+++ b/topazhold/control/report_relay.py
@@ -7,6 +7,7 @@
 
 import curio
 
+from topazhold.control.peer_messages import RELAY, Relay
 from topazhold.control.relay import WorkerFallback
 from topazhold.control.store import DECISIONS, TROUBLE, Conflict, Store
 from topazhold.control.term_context import TXN_BYTES
@@ -64,7 +65,7 @@
                     reports = self._fallback.take(RELAY_FRAME_BYTES)
                     if not reports:
                         break
-                    await link.send(encode(("relay", lead.term, reports)))
+                    await link.send(encode(Relay(RELAY, lead.term, reports)))
                 continue
             # A whole zone's reports don't fit one value: several, within a share of
             # what a transaction takes and of the changes a second.
--- a/topazhold/control/summaries.py
+++ b/topazhold/control/summaries.py
@@ -10,6 +10,7 @@
 import curio
 
 from topazhold.control.booking import View
+from topazhold.control.peer_messages import PLACED, SUMMARY, Placed, Summary
 from topazhold.control.store import DECISIONS, TROUBLE, Conflict
 from topazhold.control.term_context import TXN_BYTES, TermContext
 from topazhold.core import records
@@ -180,12 +181,12 @@
         while True:
             now = await curio.clock()
             values = await self._collect(now)
-            await self._tell(("summary", self._context.term, values))
+            await self._tell(Summary(SUMMARY, self._context.term, values))
             await curio.sleep(0)
             items = self.placed_news()
             for start in range(0, len(items), MAX_PLACED):
                 part = items[start : start + MAX_PLACED]
-                await self._tell(("placed", self._context.term, part))
+                await self._tell(Placed(PLACED, self._context.term, part))
                 await curio.sleep(0)
             if now - written_at >= self._summary_s:
                 written_at = now
--- a/topazhold/duties/released.py
+++ b/topazhold/duties/released.py
@@ -8,25 +8,9 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from typing import NamedTuple
 
 #: Machines remembered; the oldest are forgotten.
 MOST_REMEMBERED = 5000
-#: The tag of the message.
-RELEASED = "released"
-
-
-class Released(NamedTuple):
-    """A message between controllers: machines that the cloud has confirmed to be gone."""
-
-    tag: str
-    node: str
-    machines: list[str]
-
-
-def released_message(node: str, machines: list[str]) -> Released:
-    """What a controller tells the others."""
-    return Released(RELEASED, node, machines)
 
 
 class ReleasedMachines:
--- a/topazhold/duties/schemas.py
+++ b/topazhold/duties/schemas.py
@@ -11,8 +11,8 @@
 
 PREAMBLE = """# Schemas of stored orders
 
-Made from `topazhold/duties/records.py` by `python -m tools.schemas > docs/duties-schemas.md`; a test
-fails if this page is old. Keys are PREFIX, the term in 12 digits, `-`, and the number in 8 digits.
+Made from `topazhold/duties/records.py` by `python -m tools.schemas > docs/duties-schemas.md`; a
+test fails if this page is old. Keys: PREFIX, the term in 12 digits, `-`, the number in 8 digits.
 """
 
 
