A lease on whose renewals only silence comes is not renewed blindly

Where a controller's requests reach the state service and no answer comes back, its renewals kept the leadership; it decided nothing, and nobody else could lead, for as long as that lasted. Change: once the lease may have ended and two requests in a row have had no answer at all, the controller reads until it is answered, and only then renews. Refusals, as in an outage, are answers: nothing changes there.

--- a/tests/standins.py
+++ b/tests/standins.py
@@ -110,6 +110,7 @@
         self.rng = rng
         self.hosts: dict[str, Handler] = {}
         self.cuts: set[frozenset[str]] = set()
+        self.lost: set[tuple[str, str]] = set()  # (from, to): what goes that way is lost
         self.holding = False  # cuts keep requests and deliver them late
         self.loss = 0.0
         self.delay_s = 0.0  # a request takes up to so much longer
@@ -128,6 +129,11 @@
                     return True
         return False
 
+    def loses(self, source: str, target: str) -> bool:
+        """Whether what goes from one host to another is lost, the other way round or not."""
+        ends = {source, self.places.get(source, source)}, {target, self.places.get(target, target)}
+        return any((a, b) in self.lost for a in ends[0] for b in ends[1])
+
     async def ask(
         self, source: str, target: str, method: str, path: str, message: Any, timeout_s: float
     ) -> tuple[int, bytes]:
@@ -145,6 +151,9 @@
                 raise NotSent(target)
             await curio.sleep(timeout_s)
             raise NotSent(target)
+        if self.loses(source, target):
+            await curio.sleep(timeout_s)
+            raise NoAnswer(target)
         if path == "/multi":
             if self.rng.random() < self.late_writes:
                 await curio.spawn(self._late_write, handler, source, path, body, daemon=True)
@@ -169,6 +178,9 @@
         except curio.TaskTimeout:
             raise NoAnswer(target) from None
         await curio.sleep(self.rng.uniform(0.001, 0.01))
+        if self.loses(target, source):
+            await curio.sleep(timeout_s)
+            raise NoAnswer(target)
         if lost < 2 * self.loss or self.hosts.get(target) is not handler:
             await curio.sleep(timeout_s * 0.5)
             raise NoAnswer(target)
@@ -832,6 +844,7 @@
         await self._world.thawed(self._target)
         node = self._world.nodes.get(self._target)
         cut = self._world.peers_refuse or net.cut(self._source, self._target)
+        cut = cut or net.loses(self._source, self._target)
         if node is None or cut or net.rng.random() < net.loss:
             return
         message = tuple(unpack(frame[4:]))
--- a/tests/test_compat.py
+++ b/tests/test_compat.py
@@ -28,6 +28,8 @@
 #: Kinds that production does not know and leaves alone: records of open orders, which an old
 #: leader does without, and which the next new one completes or drops (`test_duties`).
 NEW_STORED = {"duty"}
+#: Tags that production drops: they are hints for controllers that know them.
+NEW_MESSAGES = {"released"}
 MESSAGES = {"cancelled", "ping", "placed", "receipt", "relay", "summary"}
 
 
@@ -164,6 +166,8 @@
     assert corpus["stored"].keys() == STORED | NEW_STORED
     for kind in NEW_STORED:
         del corpus["stored"][kind]
+    for tag in NEW_MESSAGES:
+        corpus["messages"].pop(tag, None)
     assert corpus["messages"].keys() == MESSAGES
     assert_read_alike(corpus, monkeypatch)
 
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -608,3 +608,25 @@
             assert (status, body["stage"]) == (200, "done")
 
     assert_rules(play_scene(act, monkeypatch))
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_leader_hears_nothing_of_the_state_service_that_hears_her(
+    seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Its renewals arrived, no answer did: it decided nothing, and nobody else could lead."""
+
+    async def act(scene: Scene) -> None:
+        await scene.begin()
+        await scene.jobs_running(1, scene.names[0])
+        leader = scene.leader()
+        assert leader is not None
+        scene.net.lost.add((StateService.HOST, leader))
+        new = await scene.new_leader(leader, 10 * scene.nodes[leader].grant_s)
+        await scene.jobs_running(1, new)
+        scene.net.lost.clear()
+        await scene.until(lambda: scene.nodes[leader].leading is None)
+        await curio.sleep(scene.workers.lease_s)
+        assert scene.leader() == new
+
+    assert_rules(play_scene(act, monkeypatch, seed=seed))
--- a/tests/test_random_days.py
+++ b/tests/test_random_days.py
@@ -58,6 +58,8 @@
     (30, ["cloud_held", "freeze_leader", "crash_leader", "taken"]),
     (31, ["cloud_held", "state_slow", "late_writes", "crash_election", "leader_refused"]),
     (32, ["cloud_held", "cloud_down", "freeze_leader", "refused_then_down", "notice"]),
+    (33, ["state_one_way", "crash_leader", "notice"]),
+    (34, ["state_one_way", "state_one_way", "late_copies", "freeze_leader"]),
     (15, ["leader_off_all_but_workers", "crash_election", "blink", "late_copies"]),
 ]
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -548,6 +548,15 @@
             self.work_s = rng.uniform(0.03, 0.08)
             await curio.sleep(2 * for_s)
             self.work_s = 0.0
+        elif kind == "state_one_way":
+            # The state service hears some controller, or it the service, and not both.
+            leading = [n for n, node in self.nodes.items() if node.leading is not None]
+            lost = {(rng.choice([*leading, name]), StateService.HOST)}
+            if rng.random() < 0.5:
+                lost = {(b, a) for a, b in lost}
+            self.net.lost |= lost
+            await curio.sleep(2 * for_s)
+            self.net.lost -= lost
         elif kind == "cloud_held":
             self.net.held_orders = 0.4
             await curio.sleep(for_s)
--- a/topazhold/control/election.py
+++ b/topazhold/control/election.py
@@ -30,6 +30,8 @@
 RENEW_GRANTS = 0.25
 RETRY_GRANTS = 0.1
 VACANT_GRANTS = 0.05
+#: So many requests in a row without any answer are silence.
+UNANSWERED = 2
 #: Lease times that a watch of the leadership key waits.
 WATCH_GRANTS = 4
 
@@ -75,6 +77,10 @@
         while True:
             sent = await curio.clock()
             try:
+                if self._unconfirmed(sent):
+                    # Our requests may arrive though no answer does. Renewed blindly, the
+                    # lease would keep the leadership from everybody for good.
+                    await self._store.get(LEADER_KEY, LEASES)
                 if self.id is None:
                     self.id = await self._store.grant(self._grant_s)
                     self._granted()
@@ -92,6 +98,15 @@
             await self._renewed()
             await curio.sleep(RENEW_GRANTS * self._grant_s)
 
+    def _unconfirmed(self, now: float) -> bool:
+        """Whether the lease may have ended, and nothing but silence has come since.
+
+        In an outage refusals come, and the lease keeps its time.
+        """
+        if self.id is None or self.assured(now):
+            return False
+        return self._store.unanswered >= UNANSWERED
+
     async def drop(self) -> None:
         """End the lease, so that others need not wait for it to lapse."""
         lease_id, self.id = self.id, None
--- a/topazhold/control/store.py
+++ b/topazhold/control/store.py
@@ -64,6 +64,7 @@
         self._writes = Bucket(limits.write_rps)
         self._timeout_s = timeout_s
         self.failing_since: float | None = None
+        self.unanswered = 0  # requests in a row of which nothing has come, not even a refusal
 
     def answers(self, now: float) -> bool:
         """Whether the service answers this controller, a hiccup aside."""
@@ -126,11 +127,14 @@
                 method, target, message, timeout_s or self._timeout_s
             )
         except NotSent as exc:
+            self.unanswered += 1
             self._failed(now)
             raise StoreDown(str(exc)) from None
         except NoAnswer as exc:
+            self.unanswered += 1
             self._failed(now)
             raise StoreUnknown(str(exc)) from None
+        self.unanswered = 0
         if status in (429, 503):
             if status == 503:
                 self._failed(now)
