--- a/topazhold/duties/renting.py
+++ b/topazhold/duties/renting.py
@@ -84,13 +84,9 @@
         ask = Ask(record.machine_type, record.zone, record.spot, record.count)
         try:
             names = await self._cloud.rent(record.request, ask)
-        except NoCapacity:
-            now = await curio.clock()
-            refusals.refused(*kind, pause_s, now)
-            book.rented(order, [], now)
-            return
-        except RequestRefused as exc:
-            log.error("rental %s refused for good: %s", record.request, exc)
+        except (NoCapacity, RequestRefused) as exc:
+            if isinstance(exc, RequestRefused):
+                log.error("rental %s refused for good: %s", record.request, exc)
             now = await curio.clock()
             refusals.refused(*kind, pause_s, now)
             book.rented(order, [], now)
