--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -24,6 +24,7 @@
     read_record,
     write_record,
 )
+from topazhold.duties.standing import HolderStanding, Standing
 
 #: Longer than a lease of a controller, by far.
 PAUSE_S = 30.0
@@ -396,3 +397,21 @@
         for _ in range(10):
             book.sending(rental)
     assert len(book.rentals_due()) < 10
+
+
+def test_holder_doubts_itself_after_a_pause_or_a_jump() -> None:
+    standing = HolderStanding(longest_gap_s=1.0, now=0.0, wall=1000.0)
+    assert standing.look(0.9, 1000.9, True) is Standing.CONFIRMED
+    assert standing.look(2.5, 1002.5, True) is Standing.DOUBTED, "it stood still"
+    standing.confirm(asked_at=2.4)
+    assert standing.look(2.6, 1002.6, True) is Standing.DOUBTED, "asked before the pause"
+    standing.confirm(asked_at=2.6)
+    assert standing.look(2.7, 1002.7, True) is Standing.CONFIRMED
+    assert standing.look(2.8, 1302.8, True) is Standing.DOUBTED, "suspended: one clock stood"
+    standing.confirm(asked_at=2.8)
+    assert standing.look(2.9, 1002.9, True) is Standing.CONFIRMED, "the time of day set back"
+    assert standing.look(3.0, 1003.0, False) is Standing.DOUBTED, "its lease is near its end"
+    standing.confirm(asked_at=3.0)
+    standing.lose()
+    standing.confirm(asked_at=3.1)
+    assert standing.look(3.1, 1003.1, True) is Standing.LOST
