A team without a GPU limit no longer ends the leader's term

Callers saw: with gpus_max = 0 for a team and one of its GPU jobs live, no team's machines were requested and leaders changed every few seconds.

Cause: capacity_demand took "no limit" for infinity and divided it by a task's GPUs; inf // n is NaN, int(NaN) raises, the exception ends the scale-out loop and with it the term, and the successor reads the same job.

Fix: RemainingQuota counts tasks against what limits leave; no limit is None, never a number, and amounts below SLACK are not divided by.

--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -49,8 +49,7 @@
 [cluster]
 zones = ["a", "b"]
 teams = [
-    {{ name = "red", gpus = 8.0, gpus_max = 20.0 }},
-    {{ name = "blue", gpus = 4.0, gpus_max = 12.0 }},
+{teams}
 ]
 state = {{ rps = 1000.0, write_rps = 500.0, value_kb = 8.0, txn_ops = 8 }}
 cloud = {{ rps = 50.0, list_lag_s = 0.5 }}
@@ -63,6 +62,7 @@
 gang_wait_s = 20.0
 gang_peer_s = 4.0
 """
+TEAM = '    {{ name = "{name}", gpus = {gpus}, gpus_max = {gpus_max} }},'
 SEED = '[[seeds]]\nnode_name = "{name}"\ndomain = "{zone}"\naddr = "127.0.0.1:{peers}"\n'
 
 
@@ -167,11 +167,16 @@
             for other in CONTROLLER_NAMES
             if other != name
         )
+        teams = "\n".join(
+            TEAM.format(name=team.name, gpus=team.gpus, gpus_max=team.gpus_max)
+            for team in self.settings.cluster.teams
+        )
         path.write_text(
             TEMPLATE.format(
                 name=name,
                 zone=ZONES[name],
                 seeds=seeds,
+                teams=teams,
                 heartbeat_interval_s=REPORT_S,
                 lease_s=LEASE_S,
                 cancel_s=CANCEL_S,
--- a/tests/simulation/rules.py
+++ b/tests/simulation/rules.py
@@ -83,7 +83,8 @@
                 used_gpus[team] = used_gpus.get(team, 0.0) + task.spec["cards"]
                 self._check_cancelled(worker, task)
         for team in simulation.settings.cluster.teams:
-            if used_gpus.get(team.name, 0.0) > team.gpus_max + EPSILON:
+            # A limit of 0 means none.
+            if team.gpus_max and used_gpus.get(team.name, 0.0) > team.gpus_max + EPSILON:
                 simulation.record_violation("quota", f"{team.name} uses {used_gpus[team.name]}")
 
     def _check_cancelled(self, worker: FakeWorker, task: FakeTask) -> None:
@@ -210,7 +211,8 @@
         """Whether so many more tasks stay within their team's limit."""
         teams = self._simulation.settings.cluster.teams
         limit = next(team.gpus_max for team in teams if team.name == spec["crew"])
-        return used_gpus.get(spec["crew"], 0.0) + needed * spec["cards"] <= limit + EPSILON
+        used = used_gpus.get(spec["crew"], 0.0)
+        return not limit or used + needed * spec["cards"] <= limit + EPSILON
 
     def _free_slots(self, spec: dict[str, Any]) -> int:
         """How many tasks of a job the machines have room for, where its tasks may be together."""
--- /dev/null
+++ b/tests/test_loopback_unlimited_teams.py
@@ -0,0 +1,73 @@
+"""Real processes on loopback whose settings give the teams no limit."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import curio
+
+from tests.job_specs import submission_fields
+from tests.loopback import PATIENCE_S, ROOT, LoopbackSimulation, play
+
+RUN_S = 1000.0
+SUBMIT_TIMEOUT_S = 5.0
+RETRY_S = 1.0
+#: A gang whose tasks take a machine each.
+GANG: dict[str, Any] = {
+    "job_class": "train",
+    "team": "red",
+    "shape": "gang",
+    "tasks": 3,
+    "gpus": 4.0,
+    "image_gb": 0.1,
+    "machine_types": None,
+    "zone": None,
+    "same_place": False,
+    "spot": False,
+}
+
+
+def check_settings(path: Path) -> subprocess.CompletedProcess[str]:
+    """What the command `check` says of a settings file."""
+    command = [sys.executable, "run.py", "check", "--config", str(path)]
+    return subprocess.run(command, cwd=ROOT, capture_output=True, text=True, check=False)
+
+
+async def submit(simulation: LoopbackSimulation, spec: dict[str, Any]) -> None:
+    """Repeat a submission until it is accepted, as users do: a controller may not listen yet."""
+    end = simulation.clock.now + PATIENCE_S
+    status = 0
+    while status not in (200, 201):
+        assert simulation.clock.now < end, f"not accepted: {status}"
+        status, _ = await simulation.users.request("POST", "/api/jobs", spec, SUBMIT_TIMEOUT_S)
+        await curio.sleep(RETRY_S)
+
+
+def test_gang_of_an_unlimited_team_runs_on_machines_that_are_rented_for_it(tmp_path: Path) -> None:
+    """Guards against: no machine came for it, and leaders ended one after the other."""
+
+    async def act(simulation: LoopbackSimulation) -> None:
+        for team in simulation.settings.cluster.teams:
+            team.gpus_max = 0.0
+        checked = check_settings(simulation.config("hive-0"))
+        assert checked.returncode == 0, checked.stderr
+        await simulation.start(machines=1)
+        spec = {**simulation.users.draw_spec(1), **submission_fields(GANG)}
+        job = spec["id"]
+        simulation.users.specs[job] = spec
+        simulation.tasks.job_run_s[job] = RUN_S
+        await submit(simulation, spec)
+
+        def running() -> bool:
+            tasks = [
+                task for worker in simulation.cloud.workers.values() for task in worker.present()
+            ]
+            return [task.state for task in tasks].count("running") == GANG["tasks"]
+
+        await simulation.wait_until(running, "a running gang")
+        assert len(simulation.elected) == 1, "the leader changed without a fault"
+
+    assert play(act, tmp_path).violations == []
--- /dev/null
+++ b/tests/test_unlimited_teams.py
@@ -0,0 +1,49 @@
+"""Teams without a limit: 0 in the settings means that there is none."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.job_specs import make_spec
+from tests.scenarios import Scenario, assert_no_violations, run_scenario
+from tests.scheduler_harness import SchedulerHarness
+
+#: Times within which a machine is requested, has booted and has its task's image, many times over.
+STARTED_S = 60.0
+
+
+def unlimited(scenario: Scenario, team_name: str) -> None:
+    """The team's limits are 0 in the settings of all controllers."""
+    for settings in scenario.controller_settings.values():
+        for team in settings.cluster.teams:
+            if team.name == team_name:
+                team.cpus_max = team.gpus_max = 0.0
+
+
+def test_jobs_of_a_team_without_limits_and_of_others_get_their_machines(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against: one job of an unlimited team ended every leader's term, for all teams."""
+
+    async def act(scenario: Scenario) -> None:
+        unlimited(scenario, "red")
+        await scenario.start(machines=2)
+        leader = scenario.leader()
+        via = scenario.controller_names[0]
+        jobs = [
+            await scenario.submit(via, team=team, tasks=3, gpus=4.0, cpus=4.0)
+            for team in ("red", "blue")
+        ]
+        await scenario.wait_until(lambda: set(jobs) <= scenario.present_jobs(), STARTED_S)
+        assert scenario.leader() == leader, "the leader changed without a fault"
+
+    assert_no_violations(run_scenario(act, monkeypatch))
+
+
+def test_jobs_of_next_to_no_gpus_do_not_stop_scale_out() -> None:
+    """Guards against: the limit divided by such an amount was no integer any more."""
+    harness = SchedulerHarness(machines=2)
+    harness.add_job(make_spec(1, shape="batch", tasks=1, gpus=1e-320, same_place=False))
+    harness.add_job(make_spec(2, shape="batch", tasks=6, gpus=4.0, same_place=False, team="blue"))
+    requests = harness.scheduler.scale_out(harness.now)
+    assert sum(request.count for request in requests) >= 1, "blue may use three machines"
--- a/topazhold/core/capacity_demand.py
+++ b/topazhold/core/capacity_demand.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from collections import Counter
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
@@ -10,6 +9,7 @@
 
 from topazhold.core.jobs import Job, JobState, Resources
 from topazhold.core.placement_constraints import allowed
+from topazhold.core.quota import RemainingQuota
 from topazhold.core.resources import count_fitting
 from topazhold.settings import Team
 from topazhold.wire.cloud import MachineType
@@ -119,7 +119,7 @@
     """
     demands: CapacityDemands = {}
     groups: list[_UnboundGroup] = []
-    gpus_left = {name: team.gpus_max or math.inf for name, team in teams.items()}
+    remaining = RemainingQuota(teams)
     for job in sorted(
         jobs, key=lambda job: (not job.within_guarantee, job.urgency_level, job.arrived)
     ):
@@ -128,7 +128,7 @@
         machine_type = best_type(job.spec, machine_types)
         if machine_type is None:
             continue
-        tasks = _take_within_limit(job, gpus_left)
+        tasks = remaining.take(job, job.spec.tasks - job.completed_count)
         if tasks <= 0:
             continue
         machines = tasks / count_fitting(job.need, _resources_of(machine_type), UNLIMITED_TASKS)
@@ -144,16 +144,6 @@
     return demands
 
 
-def _take_within_limit(job: Job, gpus_left: dict[str, float]) -> int:
-    """The job's unfinished tasks within what its team's limit leaves, which they reduce."""
-    tasks = job.spec.tasks - job.completed_count
-    if job.need[1] > 0:
-        left = gpus_left.get(job.spec.team, 0.0)
-        tasks = min(tasks, int(left // job.need[1]))
-        gpus_left[job.spec.team] = left - tasks * job.need[1]
-    return tasks
-
-
 def _add_zone_minimums(groups: Iterable[_UnboundGroup], machine_counts: Mapping[str, int]) -> None:
     """Demand capacity where a gang can start: enough of it in the wrong zones lets none begin.
 
--- a/topazhold/core/quota.py
+++ b/topazhold/core/quota.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from topazhold.core.jobs import Job
 from topazhold.core.resources import SLACK
@@ -19,6 +19,30 @@
     return not team.gpus_max or gpus <= team.gpus_max + SLACK
 
 
+class RemainingQuota:
+    """What the teams' limits leave to jobs that are counted one after the other."""
+
+    def __init__(self, teams: Mapping[str, Team]) -> None:
+        self._gpus_left: dict[str, float | None] = {  # None: no limit
+            name: team.gpus_max or None for name, team in teams.items()
+        }
+
+    def take(self, job: Job, tasks: int) -> int:
+        """How many of the job's tasks the limit still takes; it leaves less to later jobs."""
+        left = self._gpus_left.get(job.spec.team, 0.0)
+        taken = _count_within(left, job.need[1], tasks)
+        if left is not None:
+            self._gpus_left[job.spec.team] = left - taken * job.need[1]
+        return taken
+
+
+def _count_within(left: float | None, need: float, tasks: int) -> int:
+    """How many of so many tasks find what each needs in what is left; None is no limit."""
+    if left is None or need <= SLACK:
+        return tasks
+    return max(0, min(tasks, int((left + SLACK) // need)))
+
+
 class Usage:
     """Counts, per team, the CPUs and GPUs of every attempt from its intent until it is gone."""
 
