Scale-out counts CPU limits, and nothing for teams that are not named

Operators saw: machines requested, paid for and idle for tasks that their team's cpus_max never lets start, and for jobs without GPUs of a team that the settings don't name (left from other settings); no line told that such a job waits for good.

Cause: the demand for machines was cut to what gpus_max leaves alone, while placement also holds to cpus_max and refuses teams it doesn't know.

Fix: RemainingQuota keeps both amounts, and lets a team that is not in the settings take nothing; the leader logs such a job once as an error.

--- a/tests/test_scheduler_scale_out.py
+++ b/tests/test_scheduler_scale_out.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from tests.job_specs import make_spec
+import pytest
+
+from tests.job_specs import MACHINE_TYPE, make_spec
 from tests.scheduler_harness import SchedulerHarness
 
 
@@ -79,3 +81,26 @@
     harness.add_job(make_spec(1, shape="batch", tasks=6, gpus=4.0, same_place=False))
     requests = harness.scheduler.scale_out(harness.now)
     assert sum(request.count for request in requests) >= 2, "six tasks, four machines"
+
+
+def test_no_machines_are_rented_beyond_a_limit_of_cpus() -> None:
+    """Guards against: machines were requested for tasks that the CPU limit never lets start."""
+    harness = SchedulerHarness(machines=0)
+    harness.scheduler.usage.teams["red"].cpus_max = 2 * MACHINE_TYPE.cpus
+    harness.add_job(
+        make_spec(1, shape="batch", tasks=6, cpus=MACHINE_TYPE.cpus, gpus=0.0, same_place=False)
+    )
+    harness.scheduler.last_arrival = -1e9  # no headroom while nothing comes
+    requests = harness.scheduler.scale_out(harness.now)
+    assert sum(request.count for request in requests) == 2
+
+
+def test_no_machines_are_rented_for_a_team_that_the_settings_do_not_name(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against: machines were requested for a job that can't start, and nothing said so."""
+    harness = SchedulerHarness(machines=0)
+    harness.add_job(make_spec(1, shape="batch", team="gone", gpus=0.0, same_place=False))
+    harness.scheduler.last_arrival = -1e9
+    assert harness.scheduler.scale_out(harness.now) == []
+    assert "job wk-000001 can't start: the settings name no team gone" in caplog.text
--- a/topazhold/core/cluster_state.py
+++ b/topazhold/core/cluster_state.py
@@ -94,6 +94,9 @@
         if job.id not in self.jobs and job.id not in self._ended_jobs:
             self.jobs[job.id] = job
             self.changes += 1
+            if job.spec.team not in self.usage.teams:
+                team_name = job.spec.team
+                log.error("job %s can't start: the settings name no team %s", job.id, team_name)
             shortest_s = self._objectives.shortest_s(job)
             if shortest_s is not None:
                 job.wait_objective_s = shortest_s
--- a/topazhold/core/quota.py
+++ b/topazhold/core/quota.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
 
 from topazhold.core.jobs import Job
 from topazhold.core.resources import SLACK
@@ -19,20 +20,37 @@
     return not team.gpus_max or gpus <= team.gpus_max + SLACK
 
 
+@dataclass(slots=True)
+class _Remaining:
+    """What a team's limits leave; None: no limit."""
+
+    cpus: float | None
+    gpus: float | None
+
+
 class RemainingQuota:
     """What the teams' limits leave to jobs that are counted one after the other."""
 
     def __init__(self, teams: Mapping[str, Team]) -> None:
-        self._gpus_left: dict[str, float | None] = {  # None: no limit
-            name: team.gpus_max or None for name, team in teams.items()
+        self._remaining = {
+            name: _Remaining(team.cpus_max or None, team.gpus_max or None)
+            for name, team in teams.items()
         }
 
     def take(self, job: Job, tasks: int) -> int:
-        """How many of the job's tasks the limit still takes; it leaves less to later jobs."""
-        left = self._gpus_left.get(job.spec.team, 0.0)
-        taken = _count_within(left, job.need[1], tasks)
-        if left is not None:
-            self._gpus_left[job.spec.team] = left - taken * job.need[1]
+        """How many of the job's tasks the limits still take; they leave less to later jobs.
+
+        None of a team that the settings don't name: it may use nothing.
+        """
+        left = self._remaining.get(job.spec.team)
+        if left is None:
+            return 0
+        cpus, gpus = job.need[0], job.need[1]
+        taken = _count_within(left.gpus, gpus, _count_within(left.cpus, cpus, tasks))
+        if left.cpus is not None:
+            left.cpus -= taken * cpus
+        if left.gpus is not None:
+            left.gpus -= taken * gpus
         return taken
 
 
