A fetch rate of 0 in the catalog no longer ends the leader's term

Callers would see, for a machine type listed with a rate of 0: no task placed for any team, and leaders changing, as with an unlimited team.

Cause: Machine.fetch_s divided by the rate, in the planning loop, whose end is the term's. The search for groups took 0 for "not known" already.

Fix: one function, estimates.fetch_s, for both; a rate that is not known costs no time.

Failed before: test_tasks_are_placed_on_machines_whose_fetch_rate_is_not_ known (ZeroDivisionError).

--- a/tests/test_scheduler_launches.py
+++ b/tests/test_scheduler_launches.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from tests.job_specs import make_spec
+import msgspec
+
+from tests.job_specs import MACHINE_TYPE, make_spec
 from tests.scheduler_harness import SchedulerHarness
 from topazhold.core.jobs import GangState, Job
 from topazhold.core.task_attempts import AttemptState
@@ -136,3 +138,14 @@
     assert machine is not None
     assert harness.scheduler.answer(machine, heartbeat, harness.now, launches=False) == []
     assert launched(harness.scheduler.answer(machine, heartbeat, harness.now)) == ["wk-000001/0"]
+
+
+def test_tasks_are_placed_on_machines_whose_fetch_rate_is_not_known(
+    harness: SchedulerHarness,
+) -> None:
+    """Guards against: a catalog rate of 0 was divided by, which ended every leader's term."""
+    unknown_rate = msgspec.structs.replace(MACHINE_TYPE, fetch_gb_per_s=0.0)
+    for machine in harness.scheduler.machines.values():
+        machine.machine_type = unknown_rate
+    harness.add_job(make_spec(1, shape="batch", same_place=False))
+    assert len(harness.plan_and_commit()) == 2
--- a/topazhold/core/candidate_slots.py
+++ b/topazhold/core/candidate_slots.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 from random import Random
 
+from topazhold.core.estimates import fetch_s
 from topazhold.core.jobs import Resources
 from topazhold.core.placement_constraints import allowed
 from topazhold.core.resource_offer import Priority, ResourceOffer
@@ -70,9 +71,8 @@
     if not allowed(spec, offer.machine_type, offer.zone, offer.spot):
         return []
     need = (spec.cpus, spec.gpus, spec.memory_gb)
-    fetch_s = 0.0
-    if spec.image not in offer.images:
-        fetch_s = spec.image_gb / offer.fetch_rate if offer.fetch_rate > 0 else 0.0
+    missing_gb = 0.0 if spec.image in offer.images else spec.image_gb
+    fetching_s = fetch_s(missing_gb, offer.fetch_rate)
     slots: list[Slot] = []
     when_empty = offer.availability[-1][1] if offer.availability else need
     for delay, available in offer.availability_for(
@@ -90,7 +90,7 @@
             if need[1] * count < when_empty[1] and available[1] >= when_empty[1]:
                 cost += BREAK_PREFERENCE * rules.preference_s
         while len(slots) < count:
-            slots.append(Slot(offer, len(slots), delay, delay + fetch_s, cost))
+            slots.append(Slot(offer, len(slots), delay, delay + fetching_s, cost))
     return slots
 
 
--- a/topazhold/core/estimates.py
+++ b/topazhold/core/estimates.py
@@ -1,4 +1,7 @@
-"""Run times: the owner's estimate, corrected by the observed ones of the job's class."""
+"""Run times: the owner's estimate, corrected by the observed ones of the job's class.
+
+And the time that images take to be fetched.
+"""
 
 from __future__ import annotations
 
@@ -12,6 +15,11 @@
 MIN_REMAINING_SHARE = 0.15
 
 
+def fetch_s(image_gb: float, rate_gb_per_s: float) -> float:
+    """Seconds that the fetch of images takes; 0 if the rate is not known, which is given as 0."""
+    return image_gb / rate_gb_per_s if rate_gb_per_s > 0 else 0.0
+
+
 class Estimates:
     """Learns, per class, the ratio of run time to estimate."""
 
--- a/topazhold/core/machines.py
+++ b/topazhold/core/machines.py
@@ -5,6 +5,7 @@
 from collections import OrderedDict
 from enum import Enum
 
+from topazhold.core.estimates import fetch_s
 from topazhold.core.jobs import Resources
 from topazhold.core.resources import NO_RESOURCES, add_resources
 from topazhold.core.task_attempts import WITH_IMAGE, TaskAttempt
@@ -298,4 +299,4 @@
                 spec = attempt.job.spec
                 if spec.image not in self.images:
                     queue.setdefault(spec.image, spec.image_gb)
-        return sum(queue.values()) / self.machine_type.fetch_gb_per_s
+        return fetch_s(sum(queue.values()), self.machine_type.fetch_gb_per_s)
