An operation that can't be recorded is refused, and holds up no other

Callers saw: no new machines, and idle ones paid for, until another controller led; the log repeated "operation not recorded" for one key.

Cause: due records were encoded and written as one batch, oldest first. One that could not be encoded ended the round with nothing written, and was the oldest again in the next one. The same happened where the store answered 400, where another record stood under the key, and where one name of a scale-in was too long.

Fix: RecordWriter, split from FencedExecutor, encodes each record by itself. One that can't be stored makes its operation REFUSED, a state of its own: never sent, logged once with key, kind and reason, counted, and what it held is let go. A transaction answered 400 is written record by record, to find which. RefusedOperations keeps the same from being decided in each round: a scale-out's kind is backed off from, machines of a scale-in are decided on one by one. Records are made in one place, RecordFactory. A transaction answered with anything else stays due.

--- a/topazhold/control/key_value_store.py
+++ b/topazhold/control/key_value_store.py
@@ -209,7 +209,7 @@
             answer[:200],
             ", ".join(f"{wire.changed_key(each)} ({json_size(each)})" for each in operations),
         )
-        raise StoreUnavailableError(f"status {status}")
+        raise StoreUnavailableError(f"status {status}", malformed=status == 400)
 
     async def commit(
         self,
--- a/topazhold/interfaces/store_errors.py
+++ b/topazhold/interfaces/store_errors.py
@@ -11,7 +11,15 @@
 
 
 class StoreUnavailableError(KeyValueStoreError):
-    """Not carried out: refused, over the limit, or out of reach."""
+    """Not carried out: refused, over the limit, or out of reach.
+
+    `malformed`: the store calls the request malformed or too large, or a lease in it has ended;
+    repeated as it is, it is refused again.
+    """
+
+    def __init__(self, reason: str, malformed: bool = False) -> None:
+        super().__init__(reason)
+        self.malformed = malformed
 
 
 class OutcomeUnknownError(KeyValueStoreError):
--- a/topazhold/operations/cloud_operations.py
+++ b/topazhold/operations/cloud_operations.py
@@ -1,6 +1,7 @@
 """One cloud operation of a leader, from the decision to the removal of its record.
 
     DECIDED -> RECORDED -> SENT -> CONFIRMED -> CLOSED
+    DECIDED -> REFUSED
 
 Each transition is one method; one that is out of order raises `OperationStateError`.
 """
@@ -27,6 +28,7 @@
     SENT = "sent"  # requested at least once; repeated until it is answered
     CONFIRMED = "confirmed"  # carried out, or refused for good
     CLOSED = "closed"  # its record is removed
+    REFUSED = "refused"  # its record can't be stored; it is never sent
 
 
 class OperationStateError(RuntimeError):
@@ -45,6 +47,7 @@
         self.state = OperationState.DECIDED
         self.stored = False  # whether its record is known to be in the key-value store
         self.bypasses_record = False  # sent though its record could not be written
+        self.record_refused = False  # whether its record can't be stored, ever
         self.request_count = 0  # requests of this term
         self.confirmed_at = 0.0  # by the monotonic clock, in seconds
 
@@ -71,6 +74,13 @@
         self.bypasses_record = True
         self.state = OperationState.RECORDED
 
+    def refuse_record(self) -> None:
+        """Its record can't be stored, ever; what was to wait for the record is never sent."""
+        if not self.bypasses_record:
+            self._require(OperationState.DECIDED)
+            self.state = OperationState.REFUSED
+        self.record_refused = True
+
     def sent(self) -> bool:
         """It is about to be sent; whether it was sent before in this term."""
         self._require(OperationState.RECORDED, OperationState.SENT)
--- a/topazhold/operations/counters.py
+++ b/topazhold/operations/counters.py
@@ -17,6 +17,7 @@
     repeated: int = 0  # requests that were made before in this term
     confirmed: int = 0
     closed: int = 0
+    refused: int = 0  # their records can't be stored
     unreadable: int = 0  # stored records that can't be read
 
     def count_request(self, repeated: bool) -> None:
--- a/topazhold/operations/fenced_executor.py
+++ b/topazhold/operations/fenced_executor.py
@@ -1,37 +1,23 @@
-"""Records a term's cloud operations, and says whether they may be sent just now.
+"""Says whether a term's cloud operations may be recorded and sent just now.
 
-A record is written on the precondition that the leadership holds, so that none of a term can
-be written once its successor is elected; and the successor reads all records before it decides
-anything.
+Their records are written on the precondition that the leadership holds; and a successor reads
+all records before it decides anything.
 """
 
 from __future__ import annotations
 
 import logging
 import time
-from collections.abc import Iterable
-from typing import Any
 
 import curio
 
 from topazhold.core.leadership import LEADER_KEY
-from topazhold.interfaces.store import (
-    DECISION_PRIORITY,
-    LEASE_PRIORITY,
-    USER_PRIORITY,
-    Precondition,
-)
-from topazhold.interfaces.store_errors import (
-    KeyValueStoreError,
-    OutcomeUnknownError,
-    PreconditionFailedError,
-)
-from topazhold.interfaces.term import TXN_BYTES, LeadershipLostError, Term
-from topazhold.operations.cloud_operations import AnyOperation
+from topazhold.interfaces.store import LEASE_PRIORITY
+from topazhold.interfaces.store_errors import KeyValueStoreError
+from topazhold.interfaces.term import LeadershipLostError, Term
 from topazhold.operations.lease_confidence import LeaseConfidence, LeaseConfidenceTracker
 from topazhold.operations.operation_log import OperationLog
-from topazhold.operations.records import InvalidRecordError, write_record
-from topazhold.wire import messages as wire
+from topazhold.operations.record_writer import RecordWriter
 
 log = logging.getLogger(__name__)
 
@@ -68,8 +54,7 @@
         self.lease_confidence = LeaseConfidenceTracker(
             GAP_CONTROLLER_LEASES * controller_lease_s, now, time.time()
         )
-        self._recording = curio.Lock()  # so that a record is put once at a time
-        self._unconfirmed: dict[str, AnyOperation] = {}  # whose records may have been written
+        self._records = RecordWriter(context, operation_log)
 
     # -- lease -----------------------------------------------------------------
 
@@ -122,92 +107,15 @@
     # -- records ---------------------------------------------------------------
 
     async def record(self) -> None:
-        """Write the records that are due; those that can't be written stay due."""
-        context = self._context
-        limit = min(context.txn_ops, max(1, TXN_BYTES // context.value_limit))
-        async with self._recording:
-            while operations := self.operation_log.to_record(limit):
-                if not await self._record(operations):
-                    return
-
-    async def _record(self, operations: list[AnyOperation]) -> bool:
-        """One transaction; whether the records are known to be there."""
-        conditions = self._context.preconditions() + [
-            Precondition(operation.key, 0) for operation in operations
-        ]
+        """Write the records that are due; those that can't be written now stay due."""
         try:
-            puts = [
-                wire.put(operation.key, write_record(operation.record)) for operation in operations
-            ]
-            await self._context.store.compare_and_swap(conditions, puts, DECISION_PRIORITY)
-        except InvalidRecordError as exc:
-            log.error("operation not recorded: %s", exc)
-            return False
-        except PreconditionFailedError as exc:
-            if LEADER_KEY in exc.keys:
-                self.lease_confidence.lose()
-                raise LeadershipLostError("the leadership mark has changed") from None
-            await self._read_back(
-                operation for operation in operations if operation.key in exc.keys
-            )
-            return False
-        except OutcomeUnknownError as exc:
-            # It may yet be carried out: the operation is recorded under the same key again.
-            self._unconfirmed.update({operation.key: operation for operation in operations})
-            log.debug("operations perhaps not recorded: %s", exc)
-            return False
-        except KeyValueStoreError as exc:
-            log.debug("operations not recorded: %s", exc)
-            return False
-        self._recorded(operations, await curio.clock())
-        return True
-
-    def _recorded(self, operations: list[AnyOperation], now: float) -> None:
-        self.operation_log.recorded(operations, now)
-        for operation in operations:
-            self._unconfirmed.pop(operation.key, None)
-
-    async def _read_back(self, operations: Iterable[AnyOperation]) -> None:
-        """Keys that exist already: an earlier try without an answer wrote them."""
-        for operation in operations:
-            try:
-                entry = await self._context.store.get(operation.key, DECISION_PRIORITY)
-            except KeyValueStoreError as exc:
-                log.debug("record %s not read: %s", operation.key, exc)
-                continue
-            if entry is not None and _token(entry.data) == operation.record.by:
-                self._recorded([operation], await curio.clock())
-            else:
-                log.error("key %s is taken by another record", operation.key)
+            await self._records.write_due()
+        except LeadershipLostError:
+            self.lease_confidence.lose()
+            raise
 
     async def close_loop(self) -> None:
         """Remove the records of operations that are over, once every heartbeat interval."""
         while True:
             await curio.sleep(CLOSING_HEARTBEATS * self._context.heartbeat_interval_s)
-            await self.close()
-
-    async def close(self) -> None:
-        """Remove the records that are due, in one transaction."""
-        now = await curio.clock()
-        due = self.operation_log.to_close(now, self._context.txn_ops)
-        stored = [
-            operation for operation in due if operation.stored or operation.key in self._unconfirmed
-        ]
-        if stored:
-            drops = [wire.drop(operation.key) for operation in stored]
-            try:
-                await self._context.store.compare_and_swap(
-                    self._context.preconditions(), drops, USER_PRIORITY
-                )
-            except PreconditionFailedError:
-                raise LeadershipLostError("the leadership mark has changed") from None
-            except KeyValueStoreError as exc:
-                log.debug("%d records stay: %s", len(stored), exc)
-                return
-        for operation in stored:
-            self._unconfirmed.pop(operation.key, None)
-        self.operation_log.closed(due)
-
-
-def _token(data: Any) -> Any:
-    return data.get("by") if isinstance(data, dict) else None
+            await self._records.remove_due()
--- a/topazhold/operations/inspection.py
+++ b/topazhold/operations/inspection.py
@@ -17,15 +17,8 @@
 from topazhold.interfaces.store import LEASE_PRIORITY, Store
 from topazhold.interfaces.store_errors import KeyValueStoreError
 from topazhold.io.client import Client
-from topazhold.operations.records import (
-    OPERATION_PREFIX,
-    CleanupRecord,
-    InvalidRecordError,
-    OperationRecord,
-    ScaleInRecord,
-    ScaleOutRecord,
-    read_record,
-)
+from topazhold.operations.descriptions import describe
+from topazhold.operations.records import OPERATION_PREFIX, InvalidRecordError, read_record
 from topazhold.settings import Settings, address
 
 #: Time limit of one request, in seconds.
@@ -36,8 +29,6 @@
     "returning": "scale-in: releases of machines",
     "cleaning up": "clean-up: what jobs that are over have left in the key-value store",
 }
-#: Names of machines in a line of text, at the most.
-MAX_SHOWN_NAMES = 4
 
 
 class StoreUnreachableError(Exception):
@@ -109,26 +100,12 @@
         record = read_record(key, data)
     except InvalidRecordError as exc:
         return OpenOperation(key, "unreadable", None, None, False, str(exc))
-    kind, text = _describe(record)
+    kind, text = describe(record)
     return OpenOperation(
         key, kind, record.term, max(0.0, now - record.at), record.term == term, text
     )
 
 
-def _describe(record: OperationRecord) -> tuple[str, str]:
-    if isinstance(record, ScaleInRecord):
-        names = list(record.machines)
-        shown = ", ".join(f"{name} ({record.machines[name]})" for name in names[:MAX_SHOWN_NAMES])
-        more = f" and {len(names) - MAX_SHOWN_NAMES} more" if len(names) > MAX_SHOWN_NAMES else ""
-        return "return", shown + more
-    if isinstance(record, ScaleOutRecord):
-        price = "spot" if record.spot else "ordinary"
-        what = f"{record.count} {price} {record.machine_type} in {record.zone}"
-        return "rental", f"{record.request}: {what}"
-    assert isinstance(record, CleanupRecord)
-    return "clean-up", f"{len(record.parts)} parts of {record.job}"
-
-
 def as_text(report: OperationsReport) -> str:
     """The report for a terminal."""
     lines = []
--- a/topazhold/operations/operation_log.py
+++ b/topazhold/operations/operation_log.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable, Mapping
-from typing import Any, TypeVar
+from typing import TypeVar
 
 from topazhold.core.autoscaling import ScaleOutRequest
 from topazhold.operations.cloud_operations import (
@@ -21,14 +21,9 @@
     operation_for,
 )
 from topazhold.operations.counters import OperationCounters
-from topazhold.operations.records import (
-    MAX_PARTS,
-    CleanupRecord,
-    OperationRecord,
-    ScaleInRecord,
-    ScaleOutRecord,
-    split_machines,
-)
+from topazhold.operations.record_factory import RecordFactory
+from topazhold.operations.records import OperationRecord
+from topazhold.operations.refused_operations import RefusalCause, RefusedOperations
 from topazhold.operations.requests import ReleaseRequest, due_releases, may_scale_out
 from topazhold.operations.retention import removable
 
@@ -50,24 +45,17 @@
         keep_s: float,
         record_operations: bool = True,
     ) -> None:
-        self._node = node
-        self._term = term
+        self._records = RecordFactory(node, term)
         self._value_limit = value_limit
         self._keep_s = keep_s
         self._record_operations = record_operations
-        self._number = 0
         self._operations: dict[str, AnyOperation] = {}
         self._scale_in_of: dict[str, ScaleInOperation] = {}
         self.counters = OperationCounters()
+        self.refused = RefusedOperations()
 
     # -- decisions -------------------------------------------------------------
 
-    def _header(self, wall: float) -> dict[str, Any]:
-        """The fields that all records share, with the term's next number."""
-        self._number += 1
-        token = f"d{self._term}-{self._number}"
-        return {"by": token, "term": self._term, "number": self._number, "at": max(0.0, wall)}
-
     def _add(self, operation: Kind) -> Kind:
         self._operations[operation.key] = operation
         self.counters.decided += 1
@@ -77,9 +65,8 @@
 
     def _add_scale_ins(self, reasons: Mapping[str, str], wall: float) -> list[ScaleInOperation]:
         operations = []
-        for machines in split_machines(reasons, self._value_limit):
-            record = ScaleInRecord(**self._header(wall), machines=machines)
-            operation = self._add(ScaleInOperation(record))
+        for machines in self.refused.portions(reasons, self._value_limit):
+            operation = self._add(ScaleInOperation(self._records.scale_in(machines, wall)))
             self._scale_in_of.update(dict.fromkeys(machines, operation))
             operations.append(operation)
         return operations
@@ -90,27 +77,19 @@
         new = {
             name: reason
             for name, reason in reasons.items()
-            if name not in self._scale_in_of and name not in reserved
+            if name not in self._scale_in_of
+            and name not in reserved
+            and self.refused.recordable(name)
         }
         return self._add_scale_ins(new, wall)
 
     def decide_scale_out(self, request: ScaleOutRequest, wall: float) -> ScaleOutOperation:
         """Request machines, under a request name that is this operation's own."""
-        header = self._header(wall)
-        record = ScaleOutRecord(
-            **header,
-            request=f"{self._node}-{self._term}-{self._number}",
-            machine_type=request.machine_type,
-            zone=request.zone,
-            spot=request.spot,
-            count=request.count,
-        )
-        return self._add(ScaleOutOperation(record))
+        return self._add(ScaleOutOperation(self._records.scale_out(request, wall)))
 
     def decide_cleanup(self, job: str, parts: Iterable[int], wall: float) -> CleanupOperation:
-        """Remove these parts of an ended job's completion bitmap, or the first `MAX_PARTS`."""
-        record = CleanupRecord(**self._header(wall), job=job, parts=sorted(parts)[:MAX_PARTS])
-        return self._add(CleanupOperation(record))
+        """Remove parts of an ended job's completion bitmap."""
+        return self._add(CleanupOperation(self._records.cleanup(job, parts, wall)))
 
     def adopt(self, record: OperationRecord, now: float) -> AnyOperation:
         """An operation that an earlier term left open: it is recorded, and completed here."""
@@ -188,7 +167,7 @@
         due = [
             operation
             for operation in self._operations.values()
-            if not operation.stored
+            if not (operation.stored or operation.record_refused)
             and (operation.state is OperationState.DECIDED or operation.bypasses_record)
         ]
         due.sort(key=lambda operation: operation.bypasses_record)
@@ -200,6 +179,17 @@
             operation.record_committed()
             self._confirm_if_empty(operation, now)
 
+    def refuse(self, operation: AnyOperation, cause: RefusalCause, reason: str) -> None:
+        """The record can't be stored: the operation ends unsent, and lets go what it held.
+
+        One that was sent without its record is completed all the same.
+        """
+        operation.refuse_record()
+        self.counters.refused += 1
+        self.refused.add(operation, cause, reason)
+        if operation.state is OperationState.REFUSED:
+            self._forget(operation)
+
     # -- requests --------------------------------------------------------------
 
     def bypass_records(self, reasons: Mapping[str, str], wall: float) -> None:
@@ -256,6 +246,7 @@
     def machines_gone(self, names: Iterable[str], now: float) -> None:
         """Machines are proven to be gone."""
         for name in names:
+            self.refused.forget_machine(name)
             operation = self._scale_in_of.get(name)
             if operation is None:
                 continue
@@ -291,9 +282,12 @@
         """The records are removed."""
         for operation in operations:
             operation.close()
-            self._operations.pop(operation.key, None)
             self.counters.closed += 1
-            if isinstance(operation, ScaleInOperation):
-                for name in operation.record.machines:
-                    if self._scale_in_of.get(name) is operation:
-                        del self._scale_in_of[name]
+            self._forget(operation)
+
+    def _forget(self, operation: AnyOperation) -> None:
+        self._operations.pop(operation.key, None)
+        if isinstance(operation, ScaleInOperation):
+            for name in operation.record.machines:
+                if self._scale_in_of.get(name) is operation:
+                    del self._scale_in_of[name]
--- a/topazhold/operations/records.py
+++ b/topazhold/operations/records.py
@@ -121,6 +121,19 @@
     return value
 
 
+def storable_value(record: OperationRecord, value_limit: int) -> dict[str, Any]:
+    """The value to store, of `value_limit` bytes at the most.
+
+    Raises:
+        InvalidRecordError: the record could not be read again, or is too large.
+    """
+    value = write_record(record)
+    size = json_size(value)
+    if size > value_limit:
+        raise InvalidRecordError(f"{key_of(record)}: {size} bytes, a value takes {value_limit}")
+    return value
+
+
 def read_record(key: str, value: Any) -> OperationRecord:
     """The record that is stored under a key.
 
--- /dev/null
+++ b/topazhold/operations/refused_operations.py
@@ -0,0 +1,78 @@
+"""Operations of a term whose records can't be stored, and what follows for later decisions."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterator, Mapping
+from enum import Enum
+from typing import NamedTuple
+
+from topazhold.operations.cloud_operations import AnyOperation, ScaleInOperation, ScaleOutOperation
+from topazhold.operations.descriptions import describe
+from topazhold.operations.records import ScaleOutRecord, split_machines
+
+#: Refused operations kept to be shown; the oldest are forgotten.
+MAX_SHOWN_OPERATIONS = 8
+
+
+class RefusalCause(Enum):
+    """Why a record can't be stored."""
+
+    RECORD = "the record is invalid, too large, or refused by the store"
+    KEY_TAKEN = "another record stands under its key"
+
+
+class RefusedOperation(NamedTuple):
+    """What is told of a refused operation."""
+
+    key: str
+    kind: str
+    reason: str
+
+
+class RefusedOperations:
+    """Remembers what was refused, so that the same is not decided again in each round.
+
+    A scale-in of several machines is decided anew machine by machine, so that one name that
+    can't be recorded holds up no other; a single machine is not decided on again.
+    """
+
+    def __init__(self) -> None:
+        self.shown: deque[RefusedOperation] = deque(maxlen=MAX_SHOWN_OPERATIONS)
+        self._scale_outs: list[ScaleOutRecord] = []
+        self._apart: set[str] = set()  # machines that get a scale-in each
+        self._unrecordable: set[str] = set()  # machines whose own scale-in was refused
+
+    def add(self, operation: AnyOperation, cause: RefusalCause, reason: str) -> None:
+        """An operation is refused."""
+        kind, _ = describe(operation.record)
+        self.shown.append(RefusedOperation(operation.key, kind, reason))
+        if cause is RefusalCause.KEY_TAKEN:
+            return  # decided anew, it gets another key
+        if isinstance(operation, ScaleInOperation):
+            names = operation.record.machines
+            (self._apart if len(names) > 1 else self._unrecordable).update(names)
+        elif isinstance(operation, ScaleOutOperation):
+            self._scale_outs.append(operation.record)
+
+    def take_scale_outs(self) -> list[ScaleOutRecord]:
+        """Scale-outs that were refused since this was last called."""
+        taken, self._scale_outs = self._scale_outs, []
+        return taken
+
+    def recordable(self, name: str) -> bool:
+        """Whether a scale-in of the machine may be decided."""
+        return name not in self._unrecordable
+
+    def portions(self, reasons: Mapping[str, str], value_limit: int) -> Iterator[dict[str, str]]:
+        """Machines with their reasons, in portions for one record each."""
+        together = {name: why for name, why in reasons.items() if name not in self._apart}
+        yield from split_machines(together, value_limit)
+        for name, why in reasons.items():
+            if name in self._apart:
+                yield from split_machines({name: why}, value_limit)
+
+    def forget_machine(self, name: str) -> None:
+        """A machine is gone."""
+        self._apart.discard(name)
+        self._unrecordable.discard(name)
--- a/topazhold/operations/scale_out.py
+++ b/topazhold/operations/scale_out.py
@@ -34,6 +34,7 @@
         self._executor = executor
         self._cloud = cloud
         self._listed = listed  # set once a machine list of this term has arrived
+        self._pause_s = REFUSED_HEARTBEATS * context.heartbeat_interval_s
         self._fleet_known_at = 0.0  # by the monotonic clock; 0: no list has arrived
 
     async def loop(self) -> None:
@@ -70,9 +71,18 @@
             await self._complete()
         return sum(request.count for request in requests) >= MAX_SCALE_OUT_MACHINES
 
+    async def _back_off_from_refused(self) -> None:
+        """What can't be recorded is not requested again at once."""
+        now = await curio.clock()
+        for record in self._executor.operation_log.refused.take_scale_outs():
+            self._context.scheduler.capacity_backoff.on_refused(
+                record.machine_type, record.zone, record.spot, self._pause_s, now
+            )
+
     async def _complete(self) -> None:
         """Send what is recorded and not answered yet."""
         await self._executor.record()
+        await self._back_off_from_refused()
         for operation in self._executor.operation_log.scale_outs_due():
             if not await self._executor.lease_confirmed():
                 return
@@ -82,7 +92,6 @@
         record, operation_log = operation.record, self._executor.operation_log
         capacity_backoff = self._context.scheduler.capacity_backoff
         kind = (record.machine_type, record.zone, record.spot)
-        pause_s = REFUSED_HEARTBEATS * self._context.heartbeat_interval_s
         if operation_log.sending(operation):
             log.info("scale-out %s requested again", record.request)
         request = ScaleOutRequest(record.machine_type, record.zone, record.spot, record.count)
@@ -92,7 +101,7 @@
             if isinstance(exc, CloudRequestRejectedError):
                 log.error("scale-out %s refused for good: %s", record.request, exc)
             now = await curio.clock()
-            capacity_backoff.on_refused(*kind, pause_s, now)
+            capacity_backoff.on_refused(*kind, self._pause_s, now)
             operation_log.scale_out_answered(operation, [], now)
             return
         except CloudUnavailableError as exc:
@@ -107,6 +116,6 @@
         price = "spot" if record.spot else "ordinary"
         log.info("scale-out: %d of %d %s in %s", len(names), record.count, price, record.zone)
         if len(names) < record.count:
-            capacity_backoff.on_refused(*kind, pause_s, now)
+            capacity_backoff.on_refused(*kind, self._pause_s, now)
         else:
             capacity_backoff.on_granted(*kind)
--- a/topazhold/operations/term_operations.py
+++ b/topazhold/operations/term_operations.py
@@ -124,12 +124,14 @@
         counters = self.operation_log.counters
         log.info(
             "operations of term %d: %d decided, %d adopted, %d superseded, %d sent unrecorded, "
-            "%d requests, %d of them repeated, %d confirmed, %d closed, %d records unreadable",
+            "%d refused, %d requests, %d of them repeated, %d confirmed, %d closed, "
+            "%d records unreadable",
             self._context.term,
             counters.decided,
             counters.adopted,
             counters.superseded,
             counters.bypassed,
+            counters.refused,
             counters.requests,
             counters.repeated,
             counters.confirmed,
