A clean-up that meets a live job no longer holds up the others

Operators saw: completion bitmaps of ended jobs stay for good, and the log repeats "clean-up met a live job" once a heartbeat, in successors too.

Cause: clean-ups are carried out in order, and a failed precondition on the job's live key ended the round; the same one came first in the next, and its record was adopted by each successor.

Fix: the failed precondition says that there is nothing to remove, so the operation is over and its record closed. The line names the operation.

Failed before: test_clean_up_of_a_live_job_does_not_hold_up_others.

--- a/tests/test_failing_items.py
+++ b/tests/test_failing_items.py
@@ -21,6 +21,7 @@
     idle_machines,
     scale_in,
 )
+from topazhold.core import records
 from topazhold.core.autoscaling import ScaleOutRequest
 from topazhold.operations.records import (
     MAX_NAME_LENGTH,
@@ -151,3 +152,28 @@
         assert job in scenario.present_jobs(), "the machines that are there are used"
 
     assert_no_violations(run_scenario(act, monkeypatch))
+
+
+def test_clean_up_of_a_live_job_does_not_hold_up_others(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Guards against: it was tried first in each round, and by each successor."""
+
+    async def act(scenario: Scenario) -> None:
+        leader = await begin(scenario)
+        (live,) = [key for key in scenario.store.data if key.startswith(records.LIVE_PREFIX)]
+        ended = "wk-77"
+        kept, left = (
+            records.part_key(live[len(records.LIVE_PREFIX) :], 1),
+            records.part_key(ended, 1),
+        )
+        for key in (kept, left):
+            scenario.store.data[key] = ({"done": ""}, 5, None)
+        log = operation_log_of(scenario, leader)
+        for job in (live[len(records.LIVE_PREFIX) :], ended):
+            log.decide_cleanup(job, [1], 1.0)
+        await pass_heartbeats(scenario)
+        assert left not in scenario.store.data and kept in scenario.store.data
+        assert len(refusals(caplog)) == 1
+
+    assert_no_violations(run_scenario(act, monkeypatch))
--- a/topazhold/operations/cleanup.py
+++ b/topazhold/operations/cleanup.py
@@ -65,17 +65,9 @@
                 await self._attempt(self._remove_all)
 
     async def _attempt(self, work: Callable[[], Awaitable[None]]) -> bool:
-        """Whether the key-value store let the work be done.
-
-        Raises LeadershipLostError where another leader shows.
-        """
+        """Whether the key-value store let the work be done."""
         try:
             await work()
-        except PreconditionFailedError as exc:
-            if LEADER_KEY in exc.keys:
-                raise LeadershipLostError("the leadership mark has changed") from None
-            log.error("clean-up met a live job: %s", exc)
-            return False
         except KeyValueStoreError as exc:
             log.debug("clean-up waits: %s", exc)
             return False
@@ -103,7 +95,13 @@
             if not await self._executor.lease_confirmed():
                 return
             operation_log.sending(operation)
-            await self._remove(operation.record.job, operation.record.parts)
+            try:
+                await self._remove(operation.record.job, operation.record.parts)
+            except PreconditionFailedError as exc:
+                if LEADER_KEY in exc.keys:
+                    raise LeadershipLostError("the leadership mark has changed") from None
+                # Its parts are in use: there is nothing to remove, now or later.
+                log.error("clean-up %s met a live job: %s", operation.key, exc)
             operation_log.finished(operation, await curio.clock())
 
     async def _remove(self, job_id: str, parts: list[int]) -> None:
