A job whose end can't be stored no longer holds up the ends of others

Users saw (test): a job that is complete stays "pending" for good when another one's move to `over` is refused by the store; the progress of unfinished jobs is not saved either.

Cause: JobPersistence moved eight jobs at a time and waited until all of them were moved; one that always fails kept its batch, and all behind it.

Fix: each job of a batch gets two tries, the second with the revision that the first has found; those that could not be moved go behind the others, after the same pause as before, and progress is saved in between.

--- a/tests/test_failing_items.py
+++ b/tests/test_failing_items.py
@@ -177,3 +177,26 @@
         assert len(refusals(caplog)) == 1
 
     assert_no_violations(run_scenario(act, monkeypatch))
+
+
+def test_job_whose_end_is_refused_does_not_hold_up_the_ends_of_others(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against: while one job could not be moved, no later one was ever called done."""
+
+    async def act(scenario: Scenario) -> None:
+        refused_keys: list[str] = []
+        refuse_changes(scenario, lambda change: change.get("drop") in refused_keys)
+        await scenario.start(machines=4)
+        via = scenario.controller_names[0]
+        refused = await scenario.submit(via, 5.0, tasks=1)
+        refused_keys.append(records.live_key(refused))
+        later = await scenario.submit(via, 10.0, tasks=1)
+        await scenario.wait_until(lambda: (later, 0) in scenario.tasks.completed)
+        await curio.sleep(3.0)
+        _, answer = await scenario.poll(later, via)
+        assert answer["stage"] == "done"
+        _, answer = await scenario.poll(refused, via)
+        assert answer["stage"] != "done", "its end is not stored"
+
+    assert_no_violations(run_scenario(act, monkeypatch))
--- a/topazhold/control/job_persistence.py
+++ b/topazhold/control/job_persistence.py
@@ -19,6 +19,8 @@
 
 #: Jobs moved to `over` at the same time.
 MAX_MOVED_JOBS = 8
+#: Tries of a move in a row: the second one with the revision that the first has found.
+MAX_MOVE_TRIES = 2
 #: Longest time between two looks for what is to be written, in seconds.
 MAX_PAUSE_S = 0.25
 
@@ -34,35 +36,45 @@
         await wait_then_work(min(MAX_PAUSE_S, self._context.retry_s), self._save_all)
 
     async def _save_all(self) -> None:
-        scheduler = self._context.scheduler
-        while scheduler.finished:
+        await self._finish_all()
+        now = await curio.clock()
+        for job in list(self._context.scheduler.jobs.values()):
+            if job.unsaved_parts and job.state is JobState.LIVE and not job.complete:
+                if now - job.saved_at > self._context.block_s:
+                    await self.save(job, now)
+
+    async def _finish_all(self) -> None:
+        """Move jobs that are complete, until all are moved or some could not be."""
+        finished = self._context.scheduler.finished
+        while finished:
             # Several at a time: users expect `done` within seconds, and one slow answer of
             # the store must not keep all others waiting.
-            batch = scheduler.finished[:MAX_MOVED_JOBS]
+            batch = finished[:MAX_MOVED_JOBS]
             async with curio.TaskGroup() as group:
                 for job in batch:
                     await group.spawn(self.finish, job)
             if group.exception is not None:
                 raise group.exception
-            del scheduler.finished[: len(batch)]
-        now = await curio.clock()
-        for job in list(scheduler.jobs.values()):
-            if job.unsaved_parts and job.state is JobState.LIVE and not job.complete:
-                if now - job.saved_at > self._context.block_s:
-                    await self.save(job, now)
+            del finished[: len(batch)]
+            left = [job for job in batch if job.state is JobState.LIVE]
+            if left:
+                finished += left  # behind the others, which may fare better
+                await curio.sleep(self._context.retry_s)
+                return
 
     async def finish(self, job: Job) -> None:
-        """Move a complete job to `over`; only then may anybody be told.
+        """Try to move a complete job to `over`; only then may anybody be told.
 
         Raises LeadershipLostError where the term is over.
         """
-        while job.state is JobState.LIVE:
+        tries = 0
+        while job.state is JobState.LIVE and tries < MAX_MOVE_TRIES:
+            tries += 1
             try:
                 moved = await self._move(job)
             except KeyValueStoreError as exc:
                 log.debug("job %s not moved yet: %s", job.id, exc)
-                await curio.sleep(self._context.retry_s)
-                continue
+                return
             if moved:
                 now = await curio.clock()
                 self._context.scheduler.on_job_ended(job.id, True, now, now)
@@ -92,8 +104,6 @@
             await context.repair(exc.keys)
             if over in exc.keys:
                 await context.on_job_ended(job.id)
-            if job.state is JobState.LIVE:
-                await curio.sleep(context.retry_s)  # how it ended can't be read yet
             return False
         return True
 
