A completion bitmap that can't be read no longer ends every failover

Callers would see: no leader that stays, and nothing decided for any team, while one part of one large job's completion bitmap is odd.

Cause: load_completion_bitmaps read the part's number and text unguarded, in the failover, where all other records are read one by one, and odd ones logged and left. Its exception ended the term, and each successor's.

Fix: such a part is logged and left; its tasks count as unfinished, and those that are done exit as done when they are started again (protocol).

Failed before: test_completion_bitmap_that_cannot_be_read_does_not_keep_a_ term_from_beginning ("it never came to be": no leader within 30 s).

--- a/tests/test_failing_items.py
+++ b/tests/test_failing_items.py
@@ -23,6 +23,7 @@
 )
 from topazhold.core import records
 from topazhold.core.autoscaling import ScaleOutRequest
+from topazhold.core.jobs import TASKS_PER_PART
 from topazhold.operations.records import (
     MAX_NAME_LENGTH,
     SCALE_IN_PREFIX,
@@ -200,3 +201,27 @@
         assert answer["stage"] != "done", "its end is not stored"
 
     assert_no_violations(run_scenario(act, monkeypatch))
+
+
+def test_completion_bitmap_that_cannot_be_read_does_not_keep_a_term_from_beginning(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Guards against: each successor read it again, and ended before it led."""
+    odd_parts = [("001", {"done": "odd"}), ("002", None), ("odd", {"done": ""})]
+
+    async def act(scenario: Scenario) -> None:
+        await scenario.start(machines=2)
+        leader = scenario.leader()
+        assert leader is not None
+        via = scenario.other_controllers(leader)[0]
+        large = await scenario.submit(via, tasks=3 * TASKS_PER_PART, gpus=4.0)
+        for number, value in odd_parts:
+            scenario.store.data[f"{records.PART_PREFIX}{large}/{number}"] = (value, 5, None)
+        await scenario.stop(leader)
+        await scenario.wait_for_new_leader(leader)
+        status, _ = await scenario.poll(large, via)
+        assert status == 200
+
+    assert_no_violations(run_scenario(act, monkeypatch))
+    for number, _ in odd_parts:
+        assert f"/{number} unreadable" in caplog.text
--- a/topazhold/control/failover.py
+++ b/topazhold/control/failover.py
@@ -77,11 +77,17 @@
 
 
 async def load_completion_bitmaps(context: TermContext, job: Job) -> None:
-    """Read which tasks of a large job are done; raises KeyValueStoreError."""
+    """Read which tasks of a large job are done; raises KeyValueStoreError.
+
+    Tasks of a part that can't be read are taken for unfinished: their workers know better.
+    """
     prefix = f"{records.PART_PREFIX}{job.id}/"
     parts, _ = await context.store.entries(prefix, LEASE_PRIORITY)
     for entry in parts:
-        job.load_part(int(entry.key[len(prefix) :]), str(entry.data.get("done", "")))
+        try:
+            job.load_part(int(entry.key[len(prefix) :]), str(entry.data["done"]))
+        except (ValueError, TypeError, KeyError) as exc:
+            log.error("%s unreadable: %s", entry.key, exc)
 
 
 async def _load_intents(context: TermContext) -> tuple[list[records.Intents], list[str]]:
