Scale-out splits what is wanted into requests of 50 machines at the most

Callers saw: jobs that need many machines of one zone wait, since a request for 51 to 100 machines is refused, by its record or by the cloud (400).

Cause: autoscaling cut a zone's demand to 50 and then spread up to 50 more over the zones; nothing cut the sum.

Evidence: the least example of the property test is one demand for 51 machines of zone a with zone b refused: 50 from the first step, 1 from the second.

Fix: the plan is whole, and split at its end into requests of 50, the zones taking turns; each is an operation of its own. When the cloud has no more of a kind, the round's unsent requests for it are withdrawn, adopted ones never. Requests wait for the cloud's rate; before, one beyond it failed and counted as sent. Machines are spread by level instead of one by one: the same result at any number. CapacityBackoff has a module of its own.

--- a/topazhold/control/cloud.py
+++ b/topazhold/control/cloud.py
@@ -19,6 +19,8 @@
 
 #: Most machines in a page of the list.
 PAGE = 500
+#: Longest wait for the rate, in seconds.
+MAX_TURN_WAIT_S = 1.0
 
 
 class Cloud:
@@ -29,6 +31,12 @@
         self._bucket = TokenBucket(rps)
         self._timeout_s = timeout_s
 
+    async def wait_for_limits(self) -> None:
+        """Let time pass until the rate allows a request, within bounds."""
+        wait_s = self._bucket.wait_s(await curio.clock())
+        if wait_s > 0:
+            await curio.sleep(min(MAX_TURN_WAIT_S, wait_s))
+
     async def _send(self, method: str, target: str, message: object) -> tuple[int, bytes]:
         now = await curio.clock()
         if not self._bucket.take(now):
--- a/topazhold/core/autoscaling.py
+++ b/topazhold/core/autoscaling.py
@@ -1,6 +1,7 @@
 """Scale-out and scale-in: what to request from the cloud, and which idle machines to give back.
 
-The demand that both follow is worked out in `capacity_demand`, whose names are also found here.
+The demand that both follow is worked out in `capacity_demand`; its names, and that of
+`CapacityBackoff`, are also found here.
 """
 
 from __future__ import annotations
@@ -10,6 +11,7 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
+from topazhold.core.capacity_backoff import CapacityBackoff
 from topazhold.core.capacity_demand import (
     CapacityDemand,
     CapacityDemands,
@@ -42,8 +44,6 @@
 MAX_SCALE_OUT_MACHINES = 50
 #: Most machines that the cloud takes back at one request.
 MAX_RELEASED_MACHINES = 100
-#: The longest pause after refusals, in first pauses.
-MAX_BACKOFF_FACTOR = 4
 #: Share of the usual idle time before scale-in when no jobs come any more.
 QUIET_IDLE_SHARE = 0.2
 
@@ -58,40 +58,6 @@
     count: int
 
 
-class _Pause(NamedTuple):
-    """Until when nothing is requested, and how long that was from its start, in seconds."""
-
-    until: float
-    length_s: float
-
-
-_NO_PAUSE = _Pause(0.0, 0.0)
-
-
-class CapacityBackoff:
-    """Where the cloud had no capacity, and until when not to request it again."""
-
-    def __init__(self) -> None:
-        self._pauses: dict[tuple[str, str, bool], _Pause] = {}
-
-    def on_refused(
-        self, machine_type: str, zone: str, spot: bool, base_s: float, now: float
-    ) -> None:
-        """The cloud had none: pause for `base_s` seconds, twice as long at each further time."""
-        key = (machine_type, zone, spot)
-        last_s = self._pauses.get(key, _NO_PAUSE).length_s
-        length_s = min(max(base_s, last_s * 2), base_s * MAX_BACKOFF_FACTOR)
-        self._pauses[key] = _Pause(now + length_s, length_s)
-
-    def on_granted(self, machine_type: str, zone: str, spot: bool) -> None:
-        """The cloud has given machines: no pause any more."""
-        self._pauses.pop((machine_type, zone, spot), None)
-
-    def may_request(self, machine_type: str, zone: str, spot: bool, now: float) -> bool:
-        """Whether no pause is on."""
-        return self._pauses.get((machine_type, zone, spot), _NO_PAUSE).until <= now
-
-
 def counts_as_capacity(machine: Machine) -> bool:
     """Whether a machine counts as capacity, now or soon."""
     if machine.command_unreachable or machine.unconfirmed:
@@ -212,7 +178,7 @@
     for zone, machines in demand.zones.items():
         shortfall = supply.shortfall(zone, machines)
         if shortfall > 0 and zone in counts:
-            counts[zone] = min(shortfall, MAX_SCALE_OUT_MACHINES)
+            counts[zone] = shortfall
         elif shortfall > 0:
             missing_by_zone[zone] = shortfall
     missing = sum(missing_by_zone.values())
@@ -223,25 +189,52 @@
             for zone, machines in demand.bound.items()
             if zone not in counts
         )
-        _spread(min(shortfall, MAX_SCALE_OUT_MACHINES), counts, supply)
+        _spread(shortfall, counts, supply)
     else:
         missing = max(shortfall, missing, 0)
-    requests = [
-        ScaleOutRequest(supply.machine_type, zone, supply.spot, count)
-        for zone, count in counts.items()
-        if count
-    ]
-    return _ScaleOutPlan(requests, missing, missing_by_zone)
+    return _ScaleOutPlan(_split_requests(supply, counts), missing, missing_by_zone)
+
+
+def _split_requests(supply: _Supply, counts: dict[str, int]) -> list[ScaleOutRequest]:
+    """Requests within the protocol's limit, the zones taking turns: no zone waits for another."""
+    requests = []
+    left = {zone: count for zone, count in counts.items() if count > 0}
+    while left:
+        for zone, count in list(left.items()):
+            part = min(count, MAX_SCALE_OUT_MACHINES)
+            requests.append(ScaleOutRequest(supply.machine_type, zone, supply.spot, part))
+            left[zone] -= part
+            if not left[zone]:
+                del left[zone]
+    return requests
 
 
 def _spread(machines: int, counts: dict[str, int], supply: _Supply) -> None:
-    """Add machines one by one to the zone that will have the fewest."""
-    present = {zone: supply.machines_in(zone) for zone in counts}
-    for _ in range(machines):
-        zone = min(counts, key=lambda zone: (present[zone] + counts[zone], zone))
+    """Add machines as if one by one, each to the zone that will have the fewest."""
+    if machines <= 0:
+        return
+    planned = {zone: supply.machines_in(zone) + count for zone, count in counts.items()}
+    level = _fill_level(machines, sorted(planned.values()))
+    filled = sorted(zone for zone in counts if planned[zone] <= level)
+    for zone in filled:
+        counts[zone] += level - planned[zone]
+        machines -= level - planned[zone]
+    for zone in filled[:machines]:
         counts[zone] += 1
 
 
+def _fill_level(machines: int, planned: list[int]) -> int:
+    """What every zone with fewer can be brought up to; `planned` is in ascending order."""
+    total = 0
+    level = 0
+    for number, lowest in enumerate(planned, start=1):
+        total += lowest
+        level = (machines + total) // number
+        if number == len(planned) or level <= planned[number]:
+            break
+    return level
+
+
 def scale_in(
     demands: CapacityDemands,
     machine_type: MachineType,
--- a/topazhold/interfaces/cloud.py
+++ b/topazhold/interfaces/cloud.py
@@ -22,6 +22,10 @@
 class CloudRequests(Protocol):
     """Requests that change machines; every one can be repeated as it is."""
 
+    async def wait_for_limits(self) -> None:
+        """Let time pass until the rate allows a request, within bounds."""
+        ...
+
     async def rent(self, name: str, request: ScaleOutRequest, /) -> list[str]:
         """Request machines; repeating the name gives the same ones.
 
--- a/topazhold/operations/cloud_operations.py
+++ b/topazhold/operations/cloud_operations.py
@@ -48,6 +48,7 @@
         self.stored = False  # whether its record is known to be in the key-value store
         self.bypasses_record = False  # sent though its record could not be written
         self.record_refused = False  # whether its record can't be stored, ever
+        self.adopted = False  # left open by an earlier term, which may have sent it
         self.request_count = 0  # requests of this term
         self.confirmed_at = 0.0  # by the monotonic clock, in seconds
 
@@ -98,6 +99,9 @@
         self._require(OperationState.RECORDED)
         self._confirmed(now)
 
+    def confirm_if_empty(self, now: float) -> None:
+        """Confirm it unsent if it is recorded, and nothing of it is left to send."""
+
     def _confirmed(self, now: float) -> None:
         self.state = OperationState.CONFIRMED
         self.confirmed_at = now
@@ -115,6 +119,11 @@
         super().__init__(record)
         self.remaining_machines = dict.fromkeys(record.machines)  # not yet proven to be gone
 
+    def confirm_if_empty(self, now: float) -> None:
+        """Confirm it unsent if it is recorded, and no machine is left to name."""
+        if not self.remaining_machines and self.state is OperationState.RECORDED:
+            self.confirm_unsent(now)
+
 
 class ScaleOutOperation(CloudOperation[ScaleOutRecord]):
     """Requests new machines."""
--- a/topazhold/operations/counters.py
+++ b/topazhold/operations/counters.py
@@ -13,6 +13,7 @@
     adopted: int = 0  # left open by an earlier term
     superseded: int = 0  # of a machine that a later term than the operation's has used
     bypassed: int = 0  # sent before their record could be written
+    withdrawn: int = 0  # scale-outs that were not sent, since the cloud has no more of the kind
     requests: int = 0
     repeated: int = 0  # requests that were made before in this term
     confirmed: int = 0
--- a/topazhold/operations/operation_log.py
+++ b/topazhold/operations/operation_log.py
@@ -104,10 +104,11 @@
                 for name in operation.remaining_machines
                 if self._scale_in_of[name] is operation
             }
+        operation.adopted = True
         operation.record_committed()
         self._operations[operation.key] = operation
         self.counters.adopted += 1
-        self._confirm_if_empty(operation, now)
+        operation.confirm_if_empty(now)
         return operation
 
     def supersede_scale_in(self, name: str, now: float) -> None:
@@ -115,14 +116,7 @@
         operation = self._scale_in_of.pop(name)
         operation.remaining_machines.pop(name, None)
         self.counters.superseded += 1
-        self._confirm_if_empty(operation, now)
-
-    @staticmethod
-    def _confirm_if_empty(operation: AnyOperation, now: float) -> None:
-        """A recorded scale-in without a machine left to name is over unsent."""
-        if isinstance(operation, ScaleInOperation) and not operation.remaining_machines:
-            if operation.state is OperationState.RECORDED:
-                operation.confirm_unsent(now)
+        operation.confirm_if_empty(now)
 
     # -- lookup ----------------------------------------------------------------
 
@@ -177,7 +171,7 @@
         """The records are committed."""
         for operation in operations:
             operation.record_committed()
-            self._confirm_if_empty(operation, now)
+            operation.confirm_if_empty(now)
 
     def refuse(self, operation: AnyOperation, cause: RefusalCause, reason: str) -> None:
         """The record can't be stored: the operation ends unsent, and lets go what it held.
@@ -230,16 +224,18 @@
         """Scale-outs to request, for the first time or once more."""
         return self.of_kind(ScaleOutOperation, OperationState.RECORDED, OperationState.SENT)
 
+    def unanswered_scale_outs(self) -> list[ScaleOutOperation]:
+        """Scale-outs that are decided, and of which no outcome is known."""
+        return self.of_kind(
+            ScaleOutOperation,
+            OperationState.DECIDED,
+            OperationState.RECORDED,
+            OperationState.SENT,
+        )
+
     def may_scale_out(self) -> bool:
         """Whether another scale-out may be decided."""
-        return may_scale_out(
-            self.of_kind(
-                ScaleOutOperation,
-                OperationState.DECIDED,
-                OperationState.RECORDED,
-                OperationState.SENT,
-            )
-        )
+        return may_scale_out(self.unanswered_scale_outs())
 
     # -- outcomes --------------------------------------------------------------
 
@@ -253,7 +249,7 @@
             operation.remaining_machines.pop(name, None)
             if not operation.remaining_machines and operation.state is OperationState.SENT:
                 self.finished(operation, now)
-            self._confirm_if_empty(operation, now)
+            operation.confirm_if_empty(now)
 
     def scale_out_answered(
         self, operation: ScaleOutOperation, machines: list[str], now: float
@@ -262,6 +258,16 @@
         operation.machines = list(machines)
         self.finished(operation, now)
 
+    def withdraw_unsent(self, refused: ScaleOutOperation, now: float) -> None:
+        """The cloud has no more of what this one requested: others for the same are over unsent.
+
+        Not so those of earlier terms, which may have been sent.
+        """
+        for operation in self.of_kind(ScaleOutOperation, OperationState.RECORDED):
+            if operation.record.kind == refused.record.kind and not operation.adopted:
+                operation.confirm_unsent(now)
+                self.counters.withdrawn += 1
+
     def finished(self, operation: AnyOperation, now: float) -> None:
         """An operation that was sent is carried out, or refused for good."""
         operation.confirm(now)
--- a/topazhold/operations/records.py
+++ b/topazhold/operations/records.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator, Mapping
-from typing import Annotated, Any
+from typing import Annotated, Any, NamedTuple
 
 import msgspec
 from msgspec import Meta
@@ -36,6 +36,14 @@
 Positive = Annotated[int, Meta(ge=1, le=MAX_INTEGER)]
 
 
+class MachineKind(NamedTuple):
+    """A type of machines in a zone, spot or ordinary."""
+
+    machine_type: str
+    zone: str
+    spot: bool
+
+
 class OperationRecord(msgspec.Struct, frozen=True, kw_only=True):
     """The fields that all records share."""
 
@@ -67,6 +75,11 @@
     spot: bool
     count: Annotated[int, Meta(ge=1, le=MAX_SCALE_OUT_MACHINES)]
 
+    @property
+    def kind(self) -> MachineKind:
+        """What the cloud may have none of."""
+        return MachineKind(self.machine_type, self.zone, self.spot)
+
 
 class CleanupRecord(OperationRecord, frozen=True, kw_only=True):
     """Clean-up: parts of an ended job's completion bitmap, removed in several transactions."""
--- a/topazhold/operations/requests.py
+++ b/topazhold/operations/requests.py
@@ -54,4 +54,9 @@
 def may_scale_out(unanswered: Sequence[ScaleOutOperation]) -> bool:
     """Whether more may be requested: what is under way must first be answered, within bounds."""
     blocking = [each for each in unanswered if each.request_count < MAX_BLOCKING_REQUESTS]
-    return not blocking and len(unanswered) < MAX_OPEN_SCALE_OUTS
+    return not blocking and free_scale_outs(unanswered) > 0
+
+
+def free_scale_outs(unanswered: Sequence[ScaleOutOperation]) -> int:
+    """How many more scale-outs may be open at the same time."""
+    return max(0, MAX_OPEN_SCALE_OUTS - len(unanswered))
--- a/topazhold/operations/scale_out.py
+++ b/topazhold/operations/scale_out.py
@@ -15,8 +15,9 @@
     CloudUnavailableError,
 )
 from topazhold.interfaces.term import Term
-from topazhold.operations.cloud_operations import ScaleOutOperation
+from topazhold.operations.cloud_operations import OperationState, ScaleOutOperation
 from topazhold.operations.fenced_executor import FencedExecutor
+from topazhold.operations.requests import free_scale_outs
 
 log = logging.getLogger(__name__)
 
@@ -62,36 +63,39 @@
         return await curio.clock() >= self._fleet_known_at
 
     async def _scale_out(self) -> bool:
-        """Decide, record and send; whether so much was wanted that more is likely to be."""
-        requests = self._context.scheduler.scale_out(await curio.clock())
+        """Decide, record and send; whether so much is wanted that more is to be decided soon."""
+        operation_log = self._executor.operation_log
+        wanted = self._context.scheduler.scale_out(await curio.clock())
+        requests = wanted[: free_scale_outs(operation_log.unanswered_scale_outs())]
         for request in requests:
-            self._executor.operation_log.decide_scale_out(request, time.time())
+            operation_log.decide_scale_out(request, time.time())
         if requests:
             await self._executor.record()
             await self._complete()
-        return sum(request.count for request in requests) >= MAX_SCALE_OUT_MACHINES
+        wanted_machines = sum(request.count for request in wanted)
+        return len(wanted) > len(requests) or wanted_machines >= MAX_SCALE_OUT_MACHINES
 
     async def _back_off_from_refused(self) -> None:
         """What can't be recorded is not requested again at once."""
         now = await curio.clock()
         for record in self._executor.operation_log.refused.take_scale_outs():
-            self._context.scheduler.capacity_backoff.on_refused(
-                record.machine_type, record.zone, record.spot, self._pause_s, now
-            )
+            capacity_backoff = self._context.scheduler.capacity_backoff
+            capacity_backoff.on_refused(*record.kind, self._pause_s, now)
 
     async def _complete(self) -> None:
         """Send what is recorded and not answered yet."""
         await self._executor.record()
         await self._back_off_from_refused()
         for operation in self._executor.operation_log.scale_outs_due():
+            await self._cloud.wait_for_limits()
             if not await self._executor.lease_confirmed():
                 return
-            await self._send(operation)
+            if operation.state is not OperationState.CONFIRMED:  # by being withdrawn
+                await self._send(operation)
 
     async def _send(self, operation: ScaleOutOperation) -> None:
         record, operation_log = operation.record, self._executor.operation_log
         capacity_backoff = self._context.scheduler.capacity_backoff
-        kind = (record.machine_type, record.zone, record.spot)
         if operation_log.sending(operation):
             log.info("scale-out %s requested again", record.request)
         request = ScaleOutRequest(record.machine_type, record.zone, record.spot, record.count)
@@ -101,8 +105,9 @@
             if isinstance(exc, CloudRequestRejectedError):
                 log.error("scale-out %s refused for good: %s", record.request, exc)
             now = await curio.clock()
-            capacity_backoff.on_refused(*kind, self._pause_s, now)
+            capacity_backoff.on_refused(*record.kind, self._pause_s, now)
             operation_log.scale_out_answered(operation, [], now)
+            operation_log.withdraw_unsent(operation, now)
             return
         except CloudUnavailableError as exc:
             log.debug("scale-out %s: %s", record.request, exc)
@@ -116,6 +121,7 @@
         price = "spot" if record.spot else "ordinary"
         log.info("scale-out: %d of %d %s in %s", len(names), record.count, price, record.zone)
         if len(names) < record.count:
-            capacity_backoff.on_refused(*kind, self._pause_s, now)
+            capacity_backoff.on_refused(*record.kind, self._pause_s, now)
+            operation_log.withdraw_unsent(operation, now)
         else:
-            capacity_backoff.on_granted(*kind)
+            capacity_backoff.on_granted(*record.kind)
--- a/topazhold/operations/term_operations.py
+++ b/topazhold/operations/term_operations.py
@@ -124,7 +124,7 @@
         counters = self.operation_log.counters
         log.info(
             "operations of term %d: %d decided, %d adopted, %d superseded, %d sent unrecorded, "
-            "%d refused, %d requests, %d of them repeated, %d confirmed, %d closed, "
+            "%d refused, %d withdrawn, %d requests, %d of them repeated, %d confirmed, %d closed, "
             "%d records unreadable",
             self._context.term,
             counters.decided,
@@ -132,6 +132,7 @@
             counters.superseded,
             counters.bypassed,
             counters.refused,
+            counters.withdrawn,
             counters.requests,
             counters.repeated,
             counters.confirmed,
