--- a/topazhold/operations/record_factory.py
+++ b/topazhold/operations/record_factory.py
@@ -7,6 +7,7 @@
 
 from topazhold.core.autoscaling import ScaleOutRequest
 from topazhold.operations.records import (
+    MAX_NAME_LENGTH,
     MAX_PARTS,
     CleanupRecord,
     ScaleInRecord,
@@ -38,9 +39,10 @@
     def scale_out(self, request: ScaleOutRequest, wall: float) -> ScaleOutRecord:
         """Of a request, under a name that is its own."""
         header = self._header(wall)
+        suffix = f"-{self._term}-{self._number}"
         return ScaleOutRecord(
             **header,
-            request=f"{self._node}-{self._term}-{self._number}",
+            request=self._node[: MAX_NAME_LENGTH - len(suffix)] + suffix,
             machine_type=request.machine_type,
             zone=request.zone,
             spot=request.spot,
