`topazhold duties` shows operations of the term that were refused

Operators saw a refused operation in the leader's log only.

The leader's summary in the key-value store carries the last eight of its term, with key, kind and reason, and `duties` lists them behind the recorded ones. The field is written only where there are any; maps may get fields (docs/compatibility.md), and a test shows that production reads such a summary to the same meaning. A successor's summary has none.

--- a/tests/test_compatibility.py
+++ b/tests/test_compatibility.py
@@ -231,6 +231,16 @@
     assert member(job, "cancelled_at") == pytest.approx(CLOCK - 3.0)
 
 
+def test_summary_with_refused_operations_is_read_alike(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against: a field that only a fault brings, and that production can't read."""
+    examples = current_corpus(monkeypatch)["stored"]["sum/*"]
+    assert examples
+    for key, data in examples:
+        refused = [["duty/rental/000000000001-00000001", "rental", "why"]]
+        meaning = stored_meaning(CURRENT, key, data)
+        assert stored_meaning(production(), key, {**data, "refused": refused}) == meaning
+
+
 # -- variants that are not compatible must be seen ---------------------------------
 
 
--- a/tests/test_operation_records.py
+++ b/tests/test_operation_records.py
@@ -10,16 +10,19 @@
 
 import curio
 import jsonschema
+import msgspec
 import pytest
 from click.testing import CliRunner
 
 from tests.fakes.key_value_store import FakeKeyValueStore
 from tests.loopback import ROOT, LoopbackSimulation, free_port, serve
 from tests.random_days import play
+from tests.scenarios import Scenario, assert_no_violations, run_scenario
 from tests.simulation.deployment import CONTROLLER_NAMES
 from topazhold.cli import main
+from topazhold.core.autoscaling import ScaleOutRequest
 from topazhold.core.leadership import LEADER_KEY
-from topazhold.operations.inspection import DUTIES
+from topazhold.operations.inspection import DUTIES, OperationsReport, as_text, inspect
 from topazhold.operations.records import (
     CLEANUP_PREFIX,
     RECORD_TYPES,
@@ -29,6 +32,7 @@
     read_record,
 )
 from topazhold.operations.schemas import page, schema_of
+from topazhold.operator_settings import Operator
 
 HEADER = {"by": "d4-1", "term": 4, "number": 1, "at": 1.0}
 SAMPLES: dict[str, dict[str, Any]] = {
@@ -130,3 +134,30 @@
     assert "state service" in result.stderr
     result = CliRunner().invoke(main, ["duties", "--config", str(tmp_path / "none.toml")])
     assert result.exit_code == 2 and len(result.stderr.strip().splitlines()) == 1
+
+
+def test_command_shows_operations_that_were_refused(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against: an operation that can't be recorded shows in one controller's log only."""
+    reports: list[OperationsReport] = []
+
+    async def act(scenario: Scenario) -> None:
+        await scenario.start(machines=4)
+        leader = scenario.leader()
+        assert leader is not None
+        log = scenario.controllers[leader].leader_term.operations.operation_log
+        operation = log.decide_scale_out(ScaleOutRequest("b1", "a", False, 1), 1.0)
+        operation.record = msgspec.structs.replace(operation.record, count=0)
+        await curio.sleep(3 * Operator().summary_s)
+        store = scenario.controllers[leader].leader_term.context.store
+        reports.append(await inspect(scenario.settings, lambda client, timeout_s: store))
+        (shown,) = reports[0].refused
+        assert (shown.key, shown.kind) == (operation.key, "rental") and "count" in shown.reason
+        assert operation.key in as_text(reports[0])
+        await scenario.stop(leader)
+        await scenario.wait_for_new_leader(leader)
+        await curio.sleep(3 * Operator().summary_s)
+        store = next(iter(scenario.controllers.values())).services.store
+        reports.append(await inspect(scenario.settings, lambda client, timeout_s: store))
+        assert reports[1].refused == [], "a successor knows nothing of it"
+
+    assert_no_violations(run_scenario(act, monkeypatch))
--- a/topazhold/control/leader_term.py
+++ b/topazhold/control/leader_term.py
@@ -83,7 +83,9 @@
         self._direct_commands = DirectCommands(
             context, settings.cluster.limits.sockets, services.dial, self._on_direct_heartbeat
         )
-        self._summaries = SummaryPublisher(context, operator.summary_s, broadcast)
+        self._summaries = SummaryPublisher(
+            context, operator.summary_s, broadcast, self.operations.operation_log.refused
+        )
         self._watches = TermWatches(context, self.forwarded)
         self._planning = PlanningLoop(context, self._intents)
 
--- a/topazhold/control/summaries.py
+++ b/topazhold/control/summaries.py
@@ -23,6 +23,7 @@
 from topazhold.interfaces.store import DECISION_PRIORITY
 from topazhold.interfaces.store_errors import KeyValueStoreError, PreconditionFailedError
 from topazhold.interfaces.term import TXN_BYTES
+from topazhold.operations.refused_operations import RefusedOperations
 from topazhold.wire import messages as wire
 from topazhold.wire.codec import json_size
 
@@ -34,10 +35,11 @@
 #: at least once.
 MAX_PLACED = 500
 RESEND_ROUNDS = 16
-#: Of a stored value: what is not one of its lists, and the shares that running counts and
-#: machines' names may take.
+#: Of a stored value: what is not one of its lists, and the shares that running counts, refused
+#: operations and machines' names may take.
 OVERHEAD_BYTES = 192
 RUNNING_SHARE = 0.3
+REFUSED_SHARE = 0.2
 NAMES_SHARE = 0.5
 #: Between two summaries: heartbeat intervals, and seconds at the least.
 PAUSE_HEARTBEATS = 0.5
@@ -57,8 +59,10 @@
         context: TermContext,
         summary_s: float,
         broadcast: Broadcast,
+        refused: RefusedOperations | None = None,
     ) -> None:
         self._context = context
+        self._refused = refused if refused is not None else RefusedOperations()
         self._summary_s = summary_s
         self._broadcast = broadcast
         self._sent: dict[str, tuple[int, str | None]] = {}  # machine -> changes, endpoint
@@ -160,10 +164,12 @@
         limit = each - OVERHEAD_BYTES
         jobs = values[""]
         running = dict(cut_summary(jobs["running"].items(), int(limit * RUNNING_SHARE), json_size))
-        waiting = cut_summary(jobs["waiting"], limit - json_size(running), json_size)
+        refused = self._packed_refused(int(limit * REFUSED_SHARE))
+        available = limit - json_size(running) - json_size(refused)
+        waiting = cut_summary(jobs["waiting"], available, json_size)
         cut = len(waiting) < len(jobs["waiting"])
-        jobs = {**jobs, "running": running, "waiting": waiting, "cut": cut}
-        operations = [wire.put(records.SUMMARY_PREFIX + "*", jobs)]
+        jobs = {**jobs, "running": running, "waiting": waiting, "cut": cut, **refused}
+        operations = [wire.put(records.SUMMARY_KEY, jobs)]
         for zone in self._context.zones:
             names = cut_names(values[zone]["all"], int(limit * NAMES_SHARE), self._rounds)
             available = limit - json_size(names)
@@ -173,6 +179,11 @@
             )
         return operations
 
+    def _packed_refused(self, limit: int) -> dict[str, list[list[str]]]:
+        """The term's refused operations, for the command `duties`; nothing if there are none."""
+        packed = [operation.pack() for operation in self._refused.shown]
+        return {"refused": cut_summary(packed, limit, json_size)} if packed else {}
+
     async def _write(self, operations: list[dict[str, Any]]) -> None:
         """Write a summary in as many transactions as it needs."""
         context = self._context
--- a/topazhold/core/records.py
+++ b/topazhold/core/records.py
@@ -21,6 +21,8 @@
 PART_PREFIX = "part/"
 ON_PREFIX = "on/"
 SUMMARY_PREFIX = "sum/"
+#: Of the summary's part about jobs and operations; the others are of one zone each.
+SUMMARY_KEY = SUMMARY_PREFIX + "*"
 RELAY_PREFIX = "relay/"
 
 #: Share of a value's size limit that is used.
--- a/topazhold/operations/inspection.py
+++ b/topazhold/operations/inspection.py
@@ -14,12 +14,15 @@
 import msgspec
 
 from topazhold.core.leadership import LEADER_KEY, read_value
+from topazhold.core.records import SUMMARY_KEY
 from topazhold.interfaces.store import LEASE_PRIORITY, Store
 from topazhold.interfaces.store_errors import KeyValueStoreError
 from topazhold.io.client import Client
 from topazhold.operations.descriptions import describe
 from topazhold.operations.records import OPERATION_PREFIX, InvalidRecordError, read_record
+from topazhold.operations.refused_operations import RefusedOperation, unpack_refused
 from topazhold.settings import Settings, address
+from topazhold.wire.key_value_store import Entry
 
 #: Time limit of one request, in seconds.
 TIMEOUT_S = 5.0
@@ -55,10 +58,15 @@
 
 
 class OperationsReport(msgspec.Struct):
-    """The output of `topazhold duties`."""
+    """The output of `topazhold duties`.
+
+    `refused`: operations of the present term whose records can't be stored, as its leader's last
+    summary names them.
+    """
 
     duties: list[OperationKindState]
     orders: list[OpenOperation]
+    refused: list[RefusedOperation]
 
 
 #: Opens access to the key-value store over a client, with a time limit of a request in seconds.
@@ -76,6 +84,7 @@
     try:
         leader = await store.get(LEADER_KEY, LEASE_PRIORITY)
         entries, _ = await store.entries(OPERATION_PREFIX, LEASE_PRIORITY)
+        summary = await store.get(SUMMARY_KEY, LEASE_PRIORITY)
     except KeyValueStoreError as exc:
         raise StoreUnreachableError(str(exc)) from None
     finally:
@@ -86,9 +95,18 @@
     return OperationsReport(
         [OperationKindState(duty, leader_name, term) for duty in DUTIES],
         [_open_operation(entry.key, entry.data, term, now) for entry in entries],
+        _refused_of(summary, term),
     )
 
 
+def _refused_of(summary: Entry | None, term: int | None) -> list[RefusedOperation]:
+    """The refused operations that a summary of this term names."""
+    data = summary.data if summary is not None else None
+    if not isinstance(data, dict) or data.get("crown") != term:
+        return []
+    return unpack_refused(data.get("refused"))
+
+
 def read_report(settings: Settings, open_store: OpenStore) -> OperationsReport:
     """`inspect`, for a program that runs nothing else; raises the same."""
     report: OperationsReport = curio.run(inspect, settings, open_store)
@@ -117,4 +135,8 @@
         age = f"{order.age_s:.0f} s" if order.age_s is not None else "?"
         term = "?" if order.term is None else str(order.term)
         lines.append(f"  {order.kind:10} term {term:>4}  {age:>7}  {order.text}")
+    if report.refused:
+        lines.append(f"orders refused in this term, the last ones: {len(report.refused)}")
+    for refused in report.refused:
+        lines.append(f"  {refused.kind:10} {refused.key}: {refused.reason}")
     return "\n".join(lines)
--- a/topazhold/operations/refused_operations.py
+++ b/topazhold/operations/refused_operations.py
@@ -5,7 +5,7 @@
 from collections import deque
 from collections.abc import Iterator, Mapping
 from enum import Enum
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from topazhold.operations.cloud_operations import AnyOperation, ScaleInOperation, ScaleOutOperation
 from topazhold.operations.descriptions import describe
@@ -13,6 +13,8 @@
 
 #: Refused operations kept to be shown; the oldest are forgotten.
 MAX_SHOWN_OPERATIONS = 8
+#: Characters of a reason that are shown.
+MAX_SHOWN_REASON_LENGTH = 120
 
 
 class RefusalCause(Enum):
@@ -29,6 +31,19 @@
     kind: str
     reason: str
 
+    def pack(self) -> list[str]:
+        """The form that the leader's summary in the key-value store carries."""
+        return [self.key, self.kind, self.reason[:MAX_SHOWN_REASON_LENGTH]]
+
+
+def unpack_refused(data: Any) -> list[RefusedOperation]:
+    """Refused operations as a summary carries them; what can't be read is left out."""
+    found = []
+    for item in data if isinstance(data, list) else ():
+        if isinstance(item, list) and len(item) == len(RefusedOperation._fields):
+            found.append(RefusedOperation(*map(str, item)))
+    return found
+
 
 class RefusedOperations:
     """Remembers what was refused, so that the same is not decided again in each round.
