--- a/topazhold/core/machines.py
+++ b/topazhold/core/machines.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
 from enum import Enum
 
 from topazhold.core.estimates import fetch_s
+from topazhold.core.image_cache import ImageCache
 from topazhold.core.jobs import Resources
 from topazhold.core.resources import NO_RESOURCES, add_resources
 from topazhold.core.task_attempts import WITH_IMAGE, TaskAttempt
@@ -55,7 +55,7 @@
         self.attempts: dict[tuple[str, int], TaskAttempt] = {}
         self.used: Resources = NO_RESOURCES
         self.orphans: dict[tuple[str, int], str] = {}  # (name, attempt) -> stage; of no job here
-        self.images: OrderedDict[str, float] = OrderedDict()
+        self.images = ImageCache()
         self.error_jobs: set[str] = set()
         self.quarantined_until = 0.0
         self.idle_since = now
@@ -278,16 +278,9 @@
         return not self.orphans and not self.attempts
 
     def fetched(self, image: str, size_gb: float) -> None:
-        """Keep the least recently used images out, as the worker does."""
-        if image not in self.images:
-            self.changes += 1
-        self.images[image] = size_gb
-        self.images.move_to_end(image)
+        """An image is there."""
         capacity_gb = self.machine_type.cache_gb if self.machine_type else 0.0
-        total = sum(self.images.values())
-        while total > capacity_gb and len(self.images) > 1:
-            _, size = self.images.popitem(last=False)
-            total -= size
+        self.changes += self.images.use(image, size_gb, capacity_gb)
 
     def fetch_s(self, image: str, size_gb: float) -> float:
         """Expected seconds until the image is there, other fetches included."""
