`check` names an objective whose time is no time

TOML has nan and inf. The queue is ordered with the wait objectives: with nan the order is arbitrary, and nothing told so. Other sections' amounts were checked before; the times of objectives are now, in one line. An objective without a time stays one.

Failed before: the two new cases of test_bad_settings_are_one_clear_line.

--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -53,6 +53,8 @@
 sockets = 700
 """
 
+OBJECTIVE = '[[cluster.objectives]]\nkind = "wait"\nclass = "train"\nwithin_s = '
+
 
 @pytest.fixture
 def good(tmp_path: Path) -> Path:
@@ -81,6 +83,8 @@
         ('zones = ["a"]', "zones = []", "cluster.zones"),
         ("txn_ops = 16", "txn_ops = 16.5", "txn_ops"),
         ("[outside]", "[outside", "not TOML"),
+        ("[cluster.workers]", f"{OBJECTIVE}nan\n[cluster.workers]", "within_s of train"),
+        ("[cluster.workers]", f"{OBJECTIVE}inf\n[cluster.workers]", "within_s of train"),
     ],
 )
 def test_bad_settings_are_one_clear_line(good: Path, old: str, new: str, field: str) -> None:
--- a/topazhold/settings.py
+++ b/topazhold/settings.py
@@ -208,6 +208,8 @@
     yield from _name_faults(settings)
     for team in cluster.teams:
         yield from _team_faults(team)
+    for objective in cluster.objectives:
+        yield from _objective_faults(objective)
     for section in ("workers", "state", "cloud", "limits"):
         yield from _amount_faults(f"cluster.{section}", getattr(cluster, section))
     if cluster.state.next is not None:
@@ -256,6 +258,13 @@
             yield f"cluster.teams.{team.name}.{resource}: guarantee above {resource}_max"
 
 
+def _objective_faults(objective: Objective) -> Iterator[str]:
+    """Times that are none: the order of the queue is worked out with them."""
+    within_s = objective.within_s
+    if within_s is not None and (not math.isfinite(within_s) or within_s < 0):
+        yield f"cluster.objectives: within_s of {objective.job_class} is not a time"
+
+
 def _amount_faults(section: str, part: msgspec.Struct) -> Iterator[str]:
     """Fields of a section that are not amounts above 0; those left out are none."""
     for field in msgspec.structs.fields(part):
