A plan's preconditions no longer outgrow a transaction's bytes

Callers would see, on a store that takes over about 100 changes a transaction: no launch at all for the first of a long queue of one-task jobs, since the same plan is refused (400) again and again.

Cause: intents are cut to four preconditions a change, and their values to 48 KiB; nothing bounded the bytes of the preconditions, of which 64 KiB leave 16. Sites have 16 and 24 changes a transaction: 47 and 71 jobs a batch as before.

Found while looking for places where one item always fails. Failed before: test_plan_is_within_the_bytes_of_a_transaction_that_takes_many_changes (87,144 of 65,536 bytes).

--- a/tests/test_intents.py
+++ b/tests/test_intents.py
@@ -46,10 +46,16 @@
 
 
 def write_plan(
-    monkeypatch: pytest.MonkeyPatch, machines: int, jobs: int
+    monkeypatch: pytest.MonkeyPatch,
+    machines: int,
+    jobs: int,
+    txn_ops: int | None = None,
+    first_job: int = 0,
 ) -> tuple[RecordingStore, Any]:
     """A plan of so many one-task jobs over so many machines, written."""
     settings = make_settings("hive-0", "a", [])
+    if txn_ops is not None:
+        settings.cluster.state.txn_ops = txn_ops
     store = RecordingStore(settings.cluster.state.txn_ops)
     scheduler = Scheduler(settings, Operator(), 3, ReservationTable("hive-0"), Random(1), 0.0)
     scheduler.machine_types = {"b1": MACHINE_TYPE}
@@ -58,8 +64,8 @@
         scheduler.add_machine(name, "a", False, "b1", 0.0)
     attempts = []
     for number in range(jobs):
-        job = Job(make_spec(number, tasks=1, shape="batch"), 0.0, 0.0, "hive-0")
-        job.revision = 1
+        job = Job(make_spec(first_job + number, tasks=1, shape="batch"), 0.0, 0.0, "hive-0")
+        job.revision = 1 + first_job
         scheduler.add_job(job)
         attempts.append(TaskAttempt(job, 0, 1, names[number % machines], 0.0))
         job.add_attempt(attempts[-1])
@@ -92,3 +98,12 @@
     store, attempts = write_plan(monkeypatch, machines=80, jobs=6000)
     assert all(attempt.state is AttemptState.WRITTEN for attempt in attempts)
     assert len(set().union(*store.puts)) > 5
+
+
+def test_plan_is_within_the_bytes_of_a_transaction_that_takes_many_changes(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against: the preconditions alone fill it, and the same plan is refused for ever."""
+    store, attempts = write_plan(monkeypatch, machines=96, jobs=2000, txn_ops=256, first_job=10**17)
+    assert all(attempt.state is AttemptState.WRITTEN for attempt in attempts)
+    assert len(store.guarded) > 1
--- a/topazhold/control/intents.py
+++ b/topazhold/control/intents.py
@@ -27,6 +27,9 @@
 
 #: Preconditions that a transaction takes, per change.
 PRECONDITIONS_PER_OPERATION = 4
+#: Bytes that all preconditions of a transaction may take beside `TXN_BYTES` of values, and one.
+PRECONDITIONS_BYTES = 15 * 1024
+PRECONDITION_BYTES = 80
 
 #: The values of shards that are to be written, by the shard's name: its revision and its value.
 ShardValues = dict[str, tuple[int, dict[str, Any]]]
@@ -82,8 +85,10 @@
     def _max_jobs(self) -> int:
         """Jobs whose precondition fits beside the leader's, and those of all values put."""
         context = self._context
-        every = PRECONDITIONS_PER_OPERATION * context.txn_ops
-        return every - len(context.preconditions()) - context.txn_ops
+        of_term = len(context.preconditions())
+        by_count = PRECONDITIONS_PER_OPERATION * context.txn_ops - of_term - context.txn_ops
+        by_size = PRECONDITIONS_BYTES // PRECONDITION_BYTES - of_term - self._max_values
+        return min(by_count, by_size)
 
     async def _write_batch(self, batch: list[TaskAttempt], retried: bool = False) -> None:
         """Commit the intents of some attempts; `retried`: what was too much is written apart."""
