--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -23,6 +23,7 @@
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
+from weakref import WeakKeyDictionary
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 sys.path.insert(0, str(ROOT / "target" / "deps"))
@@ -576,7 +577,7 @@
         self.max_files: int | None = None
         self._running: list[asyncio.Task[None]] = []
         self._links: list[asyncio.StreamWriter] = []
-        self._zones_of_inodes: dict[str, str | None] = {}
+        self._zones: WeakKeyDictionary[asyncio.StreamWriter, str | None] = WeakKeyDictionary()
 
     def spawn(self, coroutine: Any) -> None:
         self._running.append(asyncio.create_task(coroutine))
@@ -596,20 +597,17 @@
 
     def owner_zone(self, writer: asyncio.StreamWriter) -> str | None:
         """Return the zone of the controller whose process opened a connection."""
-        peer = writer.get_extra_info("peername")
-        if peer is None:
-            return None
-        key = f"{peer[1]}"
-        if key not in self._zones_of_inodes:
-            self._zones_of_inodes[key] = self._find_owner(peer[1])
-        return self._zones_of_inodes[key]
-
-    def _find_owner(self, port: int) -> str | None:
-        local = f"0100007F:{port:04X}"
+        if writer not in self._zones:
+            peer, here = writer.get_extra_info("peername"), writer.get_extra_info("sockname")
+            self._zones[writer] = self._find_owner(peer[1], here[1]) if peer and here else None
+        return self._zones[writer]
+
+    def _find_owner(self, port: int, server_port: int) -> str | None:
+        local, remote = f"0100007F:{port:04X}", f"0100007F:{server_port:04X}"
         inode = None
         for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
             fields = line.split()
-            if fields[1] == local:
+            if fields[1] == local and fields[2] == remote:
                 inode = fields[9]
         for controller in self.controllers.values():
             if controller.process is None or controller.process.poll() is not None:
