Log on what grounds a controller renews the leases of workers

Hypotheses: (a) the controller in the zone knows of the cancellation and sends no kill; (b) it does not, and renews leases because a peer was heard; (c) because it has been silent only briefly; (d) because the silent peers had said that they could enforce cancellations; (e) the leader outside releases the machines too late, or not at all. The logs showed the leader's requests (e), and nothing of the controller in the zone.

Change: each change of the basis of renewals is one log line. Behaviour is as before.

--- a/topazhold/control/follower_heartbeats.py
+++ b/topazhold/control/follower_heartbeats.py
@@ -9,6 +9,7 @@
 
 import math
 from collections.abc import Iterable
+from enum import Enum
 from typing import Any, NamedTuple
 
 import msgspec
@@ -79,6 +80,16 @@
         return True
 
 
+class RenewalBasis(Enum):
+    """Why a renewed lease can't keep a cancelled task running for longer than `cancel_s`."""
+
+    NO_PEERS = "this is the only controller"
+    PEER_HEARD = "a peer was heard recently"
+    PEERS_CAN_ENFORCE = "the silent peers know the placements"
+    WITHIN_SILENCE_LIMIT = "no peer is heard, but not for long"
+    NONE = "none, no lease is renewed"
+
+
 class FollowerTiming(NamedTuple):
     """Times, in seconds, that limit for how long a follower serves workers."""
 
@@ -151,21 +162,23 @@
             bool(self._last_ping_at) and not reachable
         )
 
-    def can_enforce_cancellations(self, now: float) -> bool:
-        """Return whether cancellations are enforced in time even if workers are served here.
+    def renewal_basis(self, now: float) -> RenewalBasis:
+        """Return why cancellations are enforced in time even if workers are served here.
 
         Peers that ping also send cancellations. Silent peers that knew the placements release
         the machines of tasks that they can't stop. Nothing is known of other silent peers, so
         workers are served only for as long as `cancel_s` allows.
         """
         if self._peer_count == 0:
-            return True
+            return RenewalBasis.NO_PEERS
         last_ping_at = max(self._last_ping_at.values(), default=self._started_at)
-        return (
-            now - last_ping_at < PEER_EXPIRY_SILENCES * self._silence_threshold_s
-            or self._peers_can_enforce
-            or now - last_ping_at < self._max_silence_s
-        )
+        if now - last_ping_at < PEER_EXPIRY_SILENCES * self._silence_threshold_s:
+            return RenewalBasis.PEER_HEARD
+        if self._peers_can_enforce:
+            return RenewalBasis.PEERS_CAN_ENFORCE
+        if now - last_ping_at < self._max_silence_s:
+            return RenewalBasis.WITHIN_SILENCE_LIMIT
+        return RenewalBasis.NONE
 
     def is_partitioned(self, store_available: bool, now: float) -> bool:
         """Return whether this controller reaches neither the store nor any peer."""
--- a/topazhold/control/heartbeat_service.py
+++ b/topazhold/control/heartbeat_service.py
@@ -16,7 +16,7 @@
 import curio
 
 from topazhold.control.controller_services import ControllerState
-from topazhold.control.follower_heartbeats import FollowerHeartbeats
+from topazhold.control.follower_heartbeats import FollowerHeartbeats, RenewalBasis
 from topazhold.control.key_value_store import KeyValueStore
 from topazhold.control.leader_term import LeaderTerm
 from topazhold.control.leadership_service import LeadershipService
@@ -45,6 +45,7 @@
         self._leadership_service = leadership_service
         self._current = leadership_service.current
         self._follower_heartbeats = follower_heartbeats
+        self._logged_basis: RenewalBasis | None = None
 
     async def handle(self, body: bytes) -> Response:
         """Return the response to a heartbeat: 200, 421, or 400 if the body is malformed."""
@@ -103,9 +104,13 @@
 
     def _may_extend_leases(self, now: float) -> bool:
         """Return whether a 200 can't keep a cancelled task alive for longer than `cancel_s`."""
-        return self._cancellations.informed and self._follower_heartbeats.can_enforce_cancellations(
-            now
-        )
+        basis = RenewalBasis.NONE
+        if self._cancellations.informed:
+            basis = self._follower_heartbeats.renewal_basis(now)
+        if basis is not self._logged_basis:
+            log.info("basis of lease renewals: %s", basis.value)
+            self._logged_basis = basis
+        return basis is not RenewalBasis.NONE
 
     def _answer_locally(self, heartbeat: Heartbeat, term: int) -> Response:
         """Return a 200 with kills of cancelled jobs only; this needs no scheduler."""
