End lease renewals in time where no peer is heard, whatever a peer said before

What callers saw: a zone is cut off, a job with tasks in it is cancelled outside, and its user is told "aborted".

Cause: a controller that hears no peer went on renewing leases for any time if the last ping said that the sender could end tasks served by others. The sender needs the cloud for that, and the cloud refuses. `FollowerHeartbeats` took a promise for a proof; the one who had given it could not keep it.

Change: the clause is gone. Without a peer, leases are renewed until `cancel_s` less a lease (and the clock drift) after the last ping, so that the last renewed lease ends within `cancel_s` of it. Present pings say False to earlier versions, which then keep the same limit.

The new test moves the start of the cloud's outage from the cancellation to 0.9 of `cancel_s` after it, with the leader inside and outside the zone. Two controllers in one cut zone are not covered by it.

--- /dev/null
+++ b/tests/test_zone_cuts.py
@@ -0,0 +1,118 @@
+"""Cancellations while a zone is cut off from everything and the cloud refuses requests.
+
+A controller inside the zone can't hear of the cancellation, and the controllers outside can
+reach the zone's machines through the cloud only. The tasks must end within `cancel_s` even if
+the cloud has an outage.
+"""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+
+import curio
+import pytest
+
+from tests.fakes.cloud import FakeCloud
+from tests.fakes.key_value_store import FakeKeyValueStore
+from tests.scenarios import SITES, Scenario, assert_no_violations, run_scenario
+from tests.versions import unlimited_renewal
+
+#: Hosts outside all zones.
+REGIONAL_HOSTS = (FakeKeyValueStore.HOST, FakeCloud.HOST, "user")
+#: The zone of one controller, and the zone of the two others.
+SINGLE_ZONE, DOUBLE_ZONE = "b", "a"
+#: Start of the cloud's outage after the cancellation, as shares of `cancel_s`.
+OUTAGE_STARTS = [0.0, 0.1, 0.2, 0.3, 0.4, 0.5, 0.55, 0.6, 0.65, 0.7, 0.8, 0.9]
+#: Seconds from the cut to the cancellation.
+CANCEL_DELAY_S = 5.0
+
+
+def isolate_zone(scenario: Scenario, zone: str) -> None:
+    """Cut a zone off from the other zones and from all regional hosts."""
+    others = [SINGLE_ZONE if zone == DOUBLE_ZONE else DOUBLE_ZONE, *REGIONAL_HOSTS]
+    scenario.cut_off(zone, others)
+
+
+def controllers_in(scenario: Scenario, zone: str) -> list[str]:
+    """Return the names of the running controllers of a zone."""
+    return [name for name in scenario.controllers if scenario.zones[name] == zone]
+
+
+def controllers_outside(scenario: Scenario, zone: str) -> list[str]:
+    """Return the names of the running controllers of the other zone."""
+    return [name for name in scenario.controllers if scenario.zones[name] != zone]
+
+
+async def make_leader(scenario: Scenario, zone: str) -> str:
+    """Restart leaders until a controller of `zone` leads, and return its name."""
+    while (leader := scenario.leader()) is None or scenario.zones[leader] != zone:
+        if leader is not None:
+            await scenario.stop(leader)
+            await scenario.start_again(leader, 0.5)
+            await scenario.wait_for_new_leader(leader)
+        await curio.sleep(scenario.worker_settings.heartbeat_interval_s)
+    await curio.sleep(3 * scenario.worker_settings.heartbeat_interval_s)
+    return leader
+
+
+async def start_work(scenario: Scenario, zone: str, leader_zone: str) -> list[str]:
+    """Start the deployment with a leader in `leader_zone`, and run two jobs in `zone`."""
+    await scenario.start()
+    leader = await make_leader(scenario, leader_zone)
+    return await scenario.submit_running_jobs(2, leader, gpus=2.0, tasks=3, zone=zone)
+
+
+async def cancel_all(scenario: Scenario, jobs: list[str], zone: str) -> None:
+    """Cancel jobs through a controller outside `zone`, which must confirm it at once."""
+    via = controllers_outside(scenario, zone)[0]
+    for job in jobs:
+        assert await scenario.cancel(job, via) == HTTPStatus.OK
+
+
+async def wait_for_deadline(scenario: Scenario) -> None:
+    """Wait until `cancel_s` and a lease have passed."""
+    await curio.sleep(scenario.worker_settings.cancel_s + scenario.worker_settings.lease_s)
+
+
+@pytest.mark.parametrize("outage_start", OUTAGE_STARTS)
+@pytest.mark.parametrize(
+    ("zone", "leader_zone"),
+    [(SINGLE_ZONE, DOUBLE_ZONE), (SINGLE_ZONE, SINGLE_ZONE)],
+)
+@pytest.mark.parametrize("site", SITES)
+def test_cancelled_tasks_in_a_cut_zone_end_whenever_the_cloud_fails(
+    site: str, zone: str, leader_zone: str, outage_start: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against: a cut-off controller renews leases because its peers could end the tasks."""
+
+    async def act(scenario: Scenario) -> None:
+        jobs = await start_work(scenario, zone, leader_zone)
+        isolate_zone(scenario, zone)
+        await curio.sleep(CANCEL_DELAY_S)
+        await cancel_all(scenario, jobs, zone)
+        await curio.sleep(outage_start * scenario.worker_settings.cancel_s)
+        scenario.cloud.down = True
+        await wait_for_deadline(scenario)
+
+    assert_no_violations(run_scenario(act, monkeypatch, site))
+
+
+@pytest.mark.parametrize("outage_start", [0.0, 0.3, 0.55])
+@pytest.mark.parametrize("old_controllers", [["hive-1"], ["hive-0", "hive-2"]])
+@pytest.mark.parametrize("site", SITES)
+def test_cancelled_tasks_end_beside_controllers_without_the_limit(
+    site: str, old_controllers: list[str], outage_start: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against: an earlier version in the cut zone relies on the word of the present one."""
+
+    async def act(scenario: Scenario) -> None:
+        scenario.versions = dict.fromkeys(old_controllers, unlimited_renewal())
+        jobs = await start_work(scenario, SINGLE_ZONE, DOUBLE_ZONE)
+        isolate_zone(scenario, SINGLE_ZONE)
+        await curio.sleep(CANCEL_DELAY_S)
+        await cancel_all(scenario, jobs, SINGLE_ZONE)
+        await curio.sleep(outage_start * scenario.worker_settings.cancel_s)
+        scenario.cloud.down = True
+        await wait_for_deadline(scenario)
+
+    assert_no_violations(run_scenario(act, monkeypatch, site))
--- a/tests/versions.py
+++ b/tests/versions.py
@@ -1,8 +1,8 @@
-"""Loads the production version next to the current one, so that tests can run both.
+"""Loads earlier versions next to the current one, so that tests can run both.
 
-The production version is the commit named in `deploy/service.toml`. Its sources are extracted
-from the repository's history under another package name, so that both versions can be loaded
-in one process without sharing a module.
+The production version is the commit named in `deploy/service.toml`. Sources are extracted from
+the repository's history under another package name, so that several versions can be loaded in
+one process without sharing a module.
 """
 
 from __future__ import annotations
@@ -29,6 +29,10 @@
 ROOT = Path(__file__).resolve().parent.parent
 PACKAGE = "topazhold"
 PRODUCTION_PACKAGE = "topazhold_production"
+#: The last version that renews leases for as long as a silent peer had said that it could end
+#: the tasks of cancelled jobs. Its modules and members have their present names.
+UNLIMITED_RENEWAL_COMMIT = "e8286454df603d90ce145d3dff7c2b8042f4392b"
+UNLIMITED_RENEWAL_PACKAGE = "topazhold_unlimited_renewal"
 
 #: Modules, and classes, functions and attributes, that were renamed or moved since the
 #: production version: current name -> production's name. Code that uses both versions refers
@@ -116,20 +120,31 @@
 @cache
 def production() -> Version:
     """Load the production version; fails if its commit is not in the history."""
+    return _load_commit(production_commit(), PRODUCTION_PACKAGE)
+
+
+@cache
+def unlimited_renewal() -> Version:
+    """Load the last version without a limit of renewals; fails if it is not in the history."""
+    return _load_commit(UNLIMITED_RENEWAL_COMMIT, UNLIMITED_RENEWAL_PACKAGE)
+
+
+def _load_commit(commit: str, package: str) -> Version:
+    """Extract a commit's sources, and make them importable as `package`."""
     archive = subprocess.run(
-        ["git", "archive", production_commit(), PACKAGE],
+        ["git", "archive", commit, PACKAGE],
         cwd=ROOT,
         capture_output=True,
         check=True,
     ).stdout
-    folder = Path(tempfile.mkdtemp(prefix="production-"))
+    folder = Path(tempfile.mkdtemp(prefix=f"{package}-"))
     with tarfile.open(fileobj=io.BytesIO(archive)) as tar:
         tar.extractall(folder, filter="data")
     for path in (folder / PACKAGE).rglob("*.py"):
-        path.write_text(_IMPORT.sub(rf"\1{PRODUCTION_PACKAGE}", path.read_text()))
-    (folder / PACKAGE).rename(folder / PRODUCTION_PACKAGE)
+        path.write_text(_IMPORT.sub(rf"\1{package}", path.read_text()))
+    (folder / PACKAGE).rename(folder / package)
     sys.path.insert(0, str(folder))
-    return Version(PRODUCTION_PACKAGE)
+    return Version(package)
 
 
 # -- access to a controller of either version ------------------------
--- a/topazhold/control/follower_heartbeats.py
+++ b/topazhold/control/follower_heartbeats.py
@@ -85,7 +85,6 @@
 
     NO_PEERS = "this is the only controller"
     PEER_HEARD = "a peer was heard recently"
-    PEERS_CAN_ENFORCE = "the silent peers know the placements"
     WITHIN_SILENCE_LIMIT = "no peer is heard, but not for long"
     NONE = "none, no lease is renewed"
 
@@ -119,7 +118,6 @@
         # A response extends a task's life by one lease. Up to this long after the last ping,
         # a task cancelled since then still ends within `cancel_s`.
         self._max_silence_s = max(0.0, timing.cancel_s - lease_s * (1 + MAX_CLOCK_DRIFT_SHARE))
-        self._peers_can_enforce = False  # as of the last ping: a peer can end tasks served here
         self._started_at = now
         self._last_ping_at: dict[str, float] = {}  # by peer
         self._store_available: dict[str, bool] = {}  # by peer, as of its last ping
@@ -133,11 +131,9 @@
         store_available: bool,
         silent_machines: Iterable[str] | None,
         now: float,
-        can_enforce: bool = True,
     ) -> None:
         """Record a peer's ping; the leader's lists the machines without heartbeats."""
         self._last_ping_at[peer] = now
-        self._peers_can_enforce = can_enforce
         self._store_available[peer] = store_available
         if silent_machines is not None:
             self._silent_machines = set(silent_machines)
@@ -165,17 +161,15 @@
     def renewal_basis(self, now: float) -> RenewalBasis:
         """Return why cancellations are enforced in time even if workers are served here.
 
-        Peers that ping also send cancellations. Silent peers that knew the placements release
-        the machines of tasks that they can't stop. Nothing is known of other silent peers, so
-        workers are served only for as long as `cancel_s` allows.
+        Peers that ping also send cancellations. A silent peer may have confirmed one. It can't be
+        relied on to release the machines, since the cloud may refuse it. So workers are served
+        only for as long as the tasks' leases end within `cancel_s` of the last ping.
         """
         if self._peer_count == 0:
             return RenewalBasis.NO_PEERS
         last_ping_at = max(self._last_ping_at.values(), default=self._started_at)
         if now - last_ping_at < PEER_EXPIRY_SILENCES * self._silence_threshold_s:
             return RenewalBasis.PEER_HEARD
-        if self._peers_can_enforce:
-            return RenewalBasis.PEERS_CAN_ENFORCE
         if now - last_ping_at < self._max_silence_s:
             return RenewalBasis.WITHIN_SILENCE_LIMIT
         return RenewalBasis.NONE
--- a/topazhold/control/peer_announcer.py
+++ b/topazhold/control/peer_announcer.py
@@ -58,7 +58,7 @@
                 state.leadership.leader or "",
                 silent_machines,
                 store_available=self._services.store.failing_since is None,
-                can_enforce=silent_machines is not None or bool(state.placement_hints.by_machine),
+                can_enforce=False,
                 cancellation_record=[
                     cancellations.incarnation,
                     cancellations.last_number,
--- a/topazhold/control/peer_messages.py
+++ b/topazhold/control/peer_messages.py
@@ -26,7 +26,7 @@
     leader: str
     silent_machines: Any  # packed names of machines without heartbeats; None if not leader
     store_available: bool  # whether the sender has access to the store
-    can_enforce: bool  # whether the sender can end tasks served by others
+    can_enforce: bool  # always False; an earlier version that reads True renews leases for ever
     cancellation_record: list[Any]  # incarnation, last number, whether it is complete
     receipts: dict[str, list[Any]]  # by peer: incarnation, last number received
 
--- a/topazhold/control/peer_service.py
+++ b/topazhold/control/peer_service.py
@@ -105,7 +105,6 @@
             bool(ping.store_available),
             unpack_names(ping.silent_machines) if from_leader else None,
             now,
-            bool(ping.can_enforce),
         )
         if from_leader:
             self._loaded_leader, self._loaded_leader_at = peer, now
