Renew leases by what is known of cancellations, not by who is heard

The tasks of a job that was cancelled outside ran on while the cloud failed.

Cause: who pings was taken for who informs. Two controllers of one cut zone ping each other and renewed leases for any time, though neither could hear of a cancellation; a leader there did not ask at all once it had loaded. A restarted controller took such a peer for well informed.

Change: each controller keeps the time until which it knows all confirmed cancellations (`CancellationKnowledge`): from its own reads of the store as leader, from a peer that knew them (new message `known`, which earlier versions drop), or from all peers together, since each sends what it confirms first. Every 200 depends on it (`LeaseRenewals`), that of a loaded leader too. The last renewed lease ends within `cancel_s` of that time, less the greatest difference of two clocks (`clock_error_ms`, which the platform sends). Times are wall-clock times, so messages that were held back during a cut prove nothing. What a peer of an earlier version knows is inferred from its ping. The leader's watch of jobs returns each heartbeat interval, to show how current it is.

Two tests are changed. `test_checker_catches_answers_without_kills` leaves out the limit as well as the kills, since the limit alone now ends the tasks in time; its check is the same. `test_zone_cut_off_with_a_controller_for_over_a_lease_keeps_its_work` restarts a leader only when another one leads; with other random draws the former one was sometimes elected again, and the test timed out in its preparation.

--- a/tests/test_cancellations.py
+++ b/tests/test_cancellations.py
@@ -21,6 +21,7 @@
 from topazhold.control.cancellation_exchange import CancellationExchange
 from topazhold.control.heartbeat_service import HeartbeatService
 from topazhold.control.leader_term import LeaderTerm
+from topazhold.control.lease_renewals import LeaseRenewals
 from topazhold.core.cancellations import Cancellations
 from topazhold.core.cluster_state import ClusterState
 from topazhold.io.http import Response
@@ -372,9 +373,14 @@
 
 
 def test_checker_catches_answers_without_kills(monkeypatch: pytest.MonkeyPatch) -> None:
-    """The leader ends; the followers extend leases in the variant but send no kills."""
+    """The leader ends; the followers extend leases in the variant but send no kills.
+
+    The variant also extends them for any time: the limit alone would end the tasks in time.
+    """
     disable_enforcer(monkeypatch)
     assert cancel_before_outage(leader_ends, monkeypatch, "hive").violations == []
+    monkeypatch.setattr(LeaseRenewals, "are_allowed", lambda self: True)
+    assert cancel_before_outage(leader_ends, monkeypatch, "hive").violations == []
     monkeypatch.setattr(
         HeartbeatService,
         "_answer_locally",
--- a/tests/test_compatibility.py
+++ b/tests/test_compatibility.py
@@ -38,7 +38,7 @@
 #: (`test_operations`).
 NEW_STORED_KINDS = {"duty"}
 #: Tags of messages that production drops: hints that only newer controllers use.
-NEW_MESSAGE_TAGS = {"released"}
+NEW_MESSAGE_TAGS = {"known", "released"}
 #: Tags of messages that both versions know.
 MESSAGE_TAGS = {"cancelled", "ping", "placed", "receipt", "relay", "summary"}
 
--- a/tests/test_compound_failures_partitions.py
+++ b/tests/test_compound_failures_partitions.py
@@ -49,9 +49,10 @@
         await scenario.start()
         leader = scenario.leader()
         if leader == "hive-1":  # the only controller of zone b
-            await scenario.stop(leader)
-            await scenario.start_again(leader, 0.5)
-            leader = await scenario.wait_for_new_leader(leader)
+            old = leader
+            await scenario.stop(old)
+            leader = await scenario.wait_for_new_leader(old)
+            await scenario.start_again(old)
         assert leader is not None
         await curio.sleep(3 * scenario.worker_settings.heartbeat_interval_s)
         jobs = await scenario.submit_running_jobs(2, leader, gpus=4.0, tasks=2, zone="b")
--- a/tests/test_zone_cuts.py
+++ b/tests/test_zone_cuts.py
@@ -48,8 +48,8 @@
     while (leader := scenario.leader()) is None or scenario.zones[leader] != zone:
         if leader is not None:
             await scenario.stop(leader)
-            await scenario.start_again(leader, 0.5)
             await scenario.wait_for_new_leader(leader)
+            await scenario.start_again(leader)
         await curio.sleep(scenario.worker_settings.heartbeat_interval_s)
     await curio.sleep(3 * scenario.worker_settings.heartbeat_interval_s)
     return leader
@@ -77,7 +77,12 @@
 @pytest.mark.parametrize("outage_start", OUTAGE_STARTS)
 @pytest.mark.parametrize(
     ("zone", "leader_zone"),
-    [(SINGLE_ZONE, DOUBLE_ZONE), (SINGLE_ZONE, SINGLE_ZONE)],
+    [
+        (SINGLE_ZONE, DOUBLE_ZONE),
+        (SINGLE_ZONE, SINGLE_ZONE),
+        (DOUBLE_ZONE, SINGLE_ZONE),
+        (DOUBLE_ZONE, DOUBLE_ZONE),
+    ],
 )
 @pytest.mark.parametrize("site", SITES)
 def test_cancelled_tasks_in_a_cut_zone_end_whenever_the_cloud_fails(
@@ -116,3 +121,89 @@
         await wait_for_deadline(scenario)
 
     assert_no_violations(run_scenario(act, monkeypatch, site))
+
+
+@pytest.mark.parametrize("outage_start", [0.0, 0.3, 0.55])
+@pytest.mark.parametrize("zone", [SINGLE_ZONE, DOUBLE_ZONE])
+@pytest.mark.parametrize("restart_delay_s", [0.2, 3.0])
+@pytest.mark.parametrize("site", SITES)
+def test_cancelled_tasks_end_though_a_controller_restarts_inside_the_cut(
+    site: str,
+    restart_delay_s: float,
+    zone: str,
+    outage_start: float,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against: a restarted controller takes a peer in its own zone for well informed."""
+
+    async def act(scenario: Scenario) -> None:
+        other_zone = SINGLE_ZONE if zone == DOUBLE_ZONE else DOUBLE_ZONE
+        jobs = await start_work(scenario, zone, other_zone)
+        isolate_zone(scenario, zone)
+        await curio.sleep(CANCEL_DELAY_S)
+        restarted = controllers_in(scenario, zone)[0]
+        await scenario.stop(restarted)
+        await scenario.start_again(restarted, restart_delay_s)
+        await cancel_all(scenario, jobs, zone)
+        await curio.sleep(outage_start * scenario.worker_settings.cancel_s)
+        scenario.cloud.down = True
+        await wait_for_deadline(scenario)
+
+    assert_no_violations(run_scenario(act, monkeypatch, site))
+
+
+@pytest.mark.parametrize("outage_start", [0.0, 0.3, 0.55])
+@pytest.mark.parametrize("zone", [SINGLE_ZONE, DOUBLE_ZONE])
+@pytest.mark.parametrize("site", SITES)
+def test_cancelled_tasks_end_in_an_outage_of_the_store_as_well(
+    site: str, zone: str, outage_start: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against: without the store, the controllers outside count as informing the zone."""
+
+    async def act(scenario: Scenario) -> None:
+        other_zone = SINGLE_ZONE if zone == DOUBLE_ZONE else DOUBLE_ZONE
+        jobs = await start_work(scenario, zone, other_zone)
+        isolate_zone(scenario, zone)
+        await curio.sleep(CANCEL_DELAY_S)
+        await cancel_all(scenario, jobs, zone)
+        scenario.store.set_down(True)
+        await curio.sleep(outage_start * scenario.worker_settings.cancel_s)
+        scenario.cloud.down = True
+        await wait_for_deadline(scenario)
+
+    assert_no_violations(run_scenario(act, monkeypatch, site))
+
+
+@pytest.mark.parametrize("outage_start", [0.0, 0.3, 0.55])
+@pytest.mark.parametrize("site", SITES)
+def test_cancelled_tasks_end_though_those_who_knew_have_ended(
+    site: str, outage_start: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against: a cancellation that only the store knows is lost in a change of leader.
+
+    The controller that confirms it is cut off from its peers and ends, and so does the leader.
+    """
+
+    async def act(scenario: Scenario) -> None:
+        jobs = await start_work(scenario, SINGLE_ZONE, DOUBLE_ZONE)
+        isolate_zone(scenario, SINGLE_ZONE)
+        await curio.sleep(CANCEL_DELAY_S)
+        leader = scenario.leader()
+        confirmer = next(
+            name for name in controllers_outside(scenario, SINGLE_ZONE) if name != leader
+        )
+        scenario.cut_off(confirmer, scenario.controller_names)
+        for job in jobs:
+            assert await scenario.cancel(job, confirmer) == HTTPStatus.OK
+        ended = controllers_outside(scenario, SINGLE_ZONE)
+        for name in ended:
+            await scenario.stop(name)
+        scenario.network.cuts -= {frozenset((confirmer, name)) for name in ended}
+        await curio.sleep(1.0)
+        for name in ended:
+            await scenario.start_again(name)
+        await curio.sleep(outage_start * scenario.worker_settings.cancel_s)
+        scenario.cloud.down = True
+        await wait_for_deadline(scenario)
+
+    assert_no_violations(run_scenario(act, monkeypatch, site))
--- a/topazhold/control/controller.py
+++ b/topazhold/control/controller.py
@@ -18,12 +18,17 @@
     connect_services,
     initial_state,
 )
-from topazhold.control.follower_heartbeats import FollowerHeartbeats, FollowerTiming
+from topazhold.control.follower_heartbeats import (
+    FollowerHeartbeats,
+    FollowerTiming,
+    peer_expiry_s,
+)
 from topazhold.control.gang_reservations import GangReservations
 from topazhold.control.heartbeat_forwarding import HeartbeatForwarding
 from topazhold.control.heartbeat_service import HeartbeatService
 from topazhold.control.leader_term import CurrentTerm, LeaderTerm
 from topazhold.control.leadership_service import LeadershipService
+from topazhold.control.lease_renewals import LeaseRenewals
 from topazhold.control.peer_announcer import PeerAnnouncer
 from topazhold.control.peer_group import PeerGroup
 from topazhold.control.peer_service import PeerMessageRecipients, PeerService
@@ -123,7 +128,15 @@
         """Create the handlers of requests and peers' messages, and the cancellation enforcer."""
         services, state = self.services, self.state
         self.heartbeat_service = HeartbeatService(
-            state, services.store, self.leadership_service, self.follower_heartbeats
+            state,
+            services.store,
+            self.leadership_service,
+            self.follower_heartbeats,
+            LeaseRenewals(
+                state.cancellations,
+                self.settings.cluster,
+                peer_expiry_s(services.controller_lease_s),
+            ),
         )
         self.peer_service = PeerService(
             state,
@@ -268,6 +281,6 @@
         state.leadership,
         settings.domain,
         len(settings.seeds),
-        FollowerTiming(services.controller_lease_s, workers.lease_s, workers.cancel_s),
+        FollowerTiming(services.controller_lease_s, workers.lease_s),
         time.monotonic(),
     )
--- a/topazhold/control/controller_services.py
+++ b/topazhold/control/controller_services.py
@@ -13,8 +13,10 @@
 
 from topazhold.control.cloud import Cloud
 from topazhold.control.election import controller_lease_duration_s
+from topazhold.control.follower_heartbeats import peer_expiry_s
 from topazhold.control.instance_catalog import InstanceCatalog
 from topazhold.control.key_value_store import KeyValueStore
+from topazhold.core.cancellation_knowledge import CancellationKnowledge
 from topazhold.core.cancellations import Cancellations
 from topazhold.core.leadership import Leadership
 from topazhold.core.placement_hints import PlacementHints
@@ -105,11 +107,15 @@
 def initial_state(settings: Settings) -> ControllerState:
     """Return the empty state with which a controller starts."""
     name, workers = settings.node_name, settings.cluster.workers
+    knowledge = CancellationKnowledge(
+        [seed.node_name for seed in settings.seeds],
+        peer_expiry_s(controller_lease_duration_s(settings)),
+    )
     return ControllerState(
         leadership=Leadership(name),
         reservation_table=ReservationTable(name),
         cancellations=Cancellations(
-            f"{name}-{time.time_ns():x}", workers.cancel_s, workers.lease_s
+            f"{name}-{time.time_ns():x}", workers.cancel_s, workers.lease_s, knowledge
         ),
         placement_hints=PlacementHints(),
         released=ReleasedMachines(),
--- a/topazhold/control/failover.py
+++ b/topazhold/control/failover.py
@@ -38,6 +38,7 @@
     while not machine_types:
         await curio.sleep(CATALOG_POLL_RETRY_SHARE * context.retry_s)
     reservations_revision = await _load_reservations(context)
+    requested_at = time.time()
     live_entries, live_revision = await context.store.entries(records.LIVE_PREFIX, LEASE_PRIORITY)
     read_time = _ReadTime(await curio.clock(), time.time())
     jobs = []
@@ -61,6 +62,8 @@
     failover.rebuild(context.scheduler, jobs, intents, await curio.clock())
     for machine_name in unreadable:
         await _release_unreadable(context, machine_name)
+    # A job that ended before `live/` was read is either named by intents or has no tasks left.
+    context.cancellations.knowledge.advance(requested_at)
     return {
         RESERVATION_PREFIX: reservations_revision,
         records.LIVE_PREFIX: live_revision,
--- a/topazhold/control/follower_heartbeats.py
+++ b/topazhold/control/follower_heartbeats.py
@@ -7,9 +7,7 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Iterable
-from enum import Enum
 from typing import Any, NamedTuple
 
 import msgspec
@@ -23,8 +21,11 @@
 SILENCE_LEASE_SHARE = 0.9
 #: Multiple of that time after which a peer's last ping is no longer used.
 PEER_EXPIRY_SILENCES = 2
-#: Maximum drift between two monotonic clocks, as a share of the elapsed time.
-MAX_CLOCK_DRIFT_SHARE = 0.002
+
+
+def peer_expiry_s(controller_lease_s: float) -> float:
+    """Return the seconds after which a peer's last ping is no longer used."""
+    return PEER_EXPIRY_SILENCES * SILENCE_LEASE_SHARE * controller_lease_s
 
 
 def _has_ended_task(heartbeat: Heartbeat) -> bool:
@@ -80,21 +81,11 @@
         return True
 
 
-class RenewalBasis(Enum):
-    """Why a renewed lease can't keep a cancelled task running for longer than `cancel_s`."""
-
-    NO_PEERS = "this is the only controller"
-    PEER_HEARD = "a peer was heard recently"
-    WITHIN_SILENCE_LIMIT = "no peer is heard, but not for long"
-    NONE = "none, no lease is renewed"
-
-
 class FollowerTiming(NamedTuple):
     """Times, in seconds, that limit for how long a follower serves workers."""
 
     controller_lease_s: float  # a controller's lease
     lease_s: float  # a worker's lease
-    cancel_s: float = math.inf  # time within which the tasks of a cancelled job must have ended
 
 
 class FollowerHeartbeats:
@@ -114,10 +105,8 @@
         self._peer_count = peer_count
         self._partition_policy = PartitionedControllerPolicy(zone, lease_s)
         self._silence_threshold_s = SILENCE_LEASE_SHARE * timing.controller_lease_s
+        self._peer_expiry_s = peer_expiry_s(timing.controller_lease_s)
         self._lease_s = lease_s
-        # A response extends a task's life by one lease. Up to this long after the last ping,
-        # a task cancelled since then still ends within `cancel_s`.
-        self._max_silence_s = max(0.0, timing.cancel_s - lease_s * (1 + MAX_CLOCK_DRIFT_SHARE))
         self._started_at = now
         self._last_ping_at: dict[str, float] = {}  # by peer
         self._store_available: dict[str, bool] = {}  # by peer, as of its last ping
@@ -150,38 +139,19 @@
         `core/failure_detection.py` are failures of machines, not of controllers.
         """
         reachable = [
-            peer
-            for peer, at in self._last_ping_at.items()
-            if now - at < PEER_EXPIRY_SILENCES * self._silence_threshold_s
+            peer for peer, at in self._last_ping_at.items() if now - at < self._peer_expiry_s
         ]
         return any(self._store_available[peer] for peer in reachable) or (
             bool(self._last_ping_at) and not reachable
         )
 
-    def renewal_basis(self, now: float) -> RenewalBasis:
-        """Return why cancellations are enforced in time even if workers are served here.
-
-        Peers that ping also send cancellations. A silent peer may have confirmed one. It can't be
-        relied on to release the machines, since the cloud may refuse it. So workers are served
-        only for as long as the tasks' leases end within `cancel_s` of the last ping.
-        """
-        if self._peer_count == 0:
-            return RenewalBasis.NO_PEERS
-        last_ping_at = max(self._last_ping_at.values(), default=self._started_at)
-        if now - last_ping_at < PEER_EXPIRY_SILENCES * self._silence_threshold_s:
-            return RenewalBasis.PEER_HEARD
-        if now - last_ping_at < self._max_silence_s:
-            return RenewalBasis.WITHIN_SILENCE_LIMIT
-        return RenewalBasis.NONE
-
     def is_partitioned(self, store_available: bool, now: float) -> bool:
         """Return whether this controller reaches neither the store nor any peer."""
-        peer_expiry_s = PEER_EXPIRY_SILENCES * self._silence_threshold_s
         is_partitioned = (
             self._peer_count > 0
             and not store_available
-            and now - self._started_at > peer_expiry_s
-            and all(now - at > peer_expiry_s for at in self._last_ping_at.values())
+            and now - self._started_at > self._peer_expiry_s
+            and all(now - at > self._peer_expiry_s for at in self._last_ping_at.values())
         )
         if not is_partitioned:
             self._partition_policy.reset()
--- a/topazhold/control/heartbeat_service.py
+++ b/topazhold/control/heartbeat_service.py
@@ -5,6 +5,8 @@
   respond 200 with kills of cancelled jobs only, which renews the worker's lease.
 - A controller that is partitioned from the store and all peers first responds 421 to workers
   that may find another controller; it answers the others as above.
+- A controller of any role that may not know all cancellations responds 421 to all workers once
+  the tasks could otherwise outlast `cancel_s` (`lease_renewals`).
 - Otherwise the response is 421, with the leader's name if known.
 """
 
@@ -16,10 +18,11 @@
 import curio
 
 from topazhold.control.controller_services import ControllerState
-from topazhold.control.follower_heartbeats import FollowerHeartbeats, RenewalBasis
+from topazhold.control.follower_heartbeats import FollowerHeartbeats
 from topazhold.control.key_value_store import KeyValueStore
 from topazhold.control.leader_term import LeaderTerm
 from topazhold.control.leadership_service import LeadershipService
+from topazhold.control.lease_renewals import LeaseRenewals
 from topazhold.io.http import Response
 from topazhold.wire import messages as wire
 from topazhold.wire.codec import InvalidMessageError, decode
@@ -37,15 +40,16 @@
         store: KeyValueStore,
         leadership_service: LeadershipService,
         follower_heartbeats: FollowerHeartbeats,
+        lease_renewals: LeaseRenewals,
     ) -> None:
         self._leadership = state.leadership
         self._cancellations = state.cancellations
+        self._lease_renewals = lease_renewals
         self._placement_hints = state.placement_hints
         self._store = store
         self._leadership_service = leadership_service
         self._current = leadership_service.current
         self._follower_heartbeats = follower_heartbeats
-        self._logged_basis: RenewalBasis | None = None
 
     async def handle(self, body: bytes) -> Response:
         """Return the response to a heartbeat: 200, 421, or 400 if the body is malformed."""
@@ -58,13 +62,15 @@
             return await self._on_higher_term(heartbeat.fencing_token)
         leader_term = self._current.leader_term
         now = await curio.clock()
-        if self._is_partitioned(now) and not self._should_serve_while_partitioned(heartbeat, now):
+        if not self._may_extend_leases(now):
+            return self._refuse_renewal()
+        if self._is_partitioned(
+            now
+        ) and not self._follower_heartbeats.should_serve_while_partitioned(heartbeat, now):
             return _redirect(None)
         if leader_term is None or not self._leadership.is_leader:
             return self._answer_as_follower(heartbeat, now)
         if not leader_term.loaded:
-            if not self._may_extend_leases(now):
-                return _redirect(None)
             return self._answer_locally(heartbeat, leader_term.term)
         return await self._answer_as_leader(leader_term, heartbeat)
 
@@ -83,18 +89,17 @@
         partitioned = self._follower_heartbeats.is_partitioned(self._store.is_available(now), now)
         return partitioned and not self._leadership_service.lease.is_valid(now)
 
-    def _should_serve_while_partitioned(self, heartbeat: Heartbeat, now: float) -> bool:
-        return self._may_extend_leases(
-            now
-        ) and self._follower_heartbeats.should_serve_while_partitioned(heartbeat, now)
+    def _refuse_renewal(self) -> Response:
+        """Redirect the worker, to the leader if it is another controller."""
+        leadership = self._leadership
+        return _redirect(leadership.leader if leadership.leader != leadership.node else None)
 
     def _answer_as_follower(self, heartbeat: Heartbeat, now: float) -> Response:
         """Serve the worker here if it can't reach the leader; otherwise redirect it there."""
-        leadership = self._leadership
-        if self._may_extend_leases(now) and self._follower_heartbeats.should_serve(heartbeat, now):
+        if self._follower_heartbeats.should_serve(heartbeat, now):
             self._follower_heartbeats.queue_for_forwarding(heartbeat)
-            return self._answer_locally(heartbeat, leadership.term)
-        return _redirect(leadership.leader if leadership.leader != leadership.node else None)
+            return self._answer_locally(heartbeat, self._leadership.term)
+        return self._refuse_renewal()
 
     async def _answer_as_leader(self, leader_term: LeaderTerm, heartbeat: Heartbeat) -> Response:
         _, commands = await leader_term.on_heartbeat(heartbeat)
@@ -104,13 +109,7 @@
 
     def _may_extend_leases(self, now: float) -> bool:
         """Return whether a 200 can't keep a cancelled task alive for longer than `cancel_s`."""
-        basis = RenewalBasis.NONE
-        if self._cancellations.informed:
-            basis = self._follower_heartbeats.renewal_basis(now)
-        if basis is not self._logged_basis:
-            log.info("basis of lease renewals: %s", basis.value)
-            self._logged_basis = basis
-        return basis is not RenewalBasis.NONE
+        return self._lease_renewals.are_allowed()
 
     def _answer_locally(self, heartbeat: Heartbeat, term: int) -> Response:
         """Return a 200 with kills of cancelled jobs only; this needs no scheduler."""
--- a/topazhold/control/peer_announcer.py
+++ b/topazhold/control/peer_announcer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Iterable
 
 import curio
@@ -9,7 +10,7 @@
 from topazhold.control.controller_services import ControllerServices, ControllerState
 from topazhold.control.leader_term import CurrentTerm
 from topazhold.control.peer_group import PeerGroup
-from topazhold.control.peer_messages import PING, RELEASED, Ping, Released
+from topazhold.control.peer_messages import KNOWN, PING, RELEASED, Known, Ping, Released
 from topazhold.control.waiting_loops import work_then_wait
 from topazhold.core.zone_summary import pack_names
 
@@ -50,6 +51,7 @@
                 leader_term.scheduler.machines_without_heartbeat(await curio.clock())
             )
         cancellations = state.cancellations
+        await self._peers.broadcast(self._known_cancellations())
         await self._peers.broadcast(
             Ping(
                 PING,
@@ -68,6 +70,17 @@
             )
         )
 
+    def _known_cancellations(self) -> Known:
+        cancellations, now = self._state.cancellations, time.time()
+        return Known(
+            KNOWN,
+            self._node,
+            cancellations.incarnation,
+            cancellations.last_number,
+            known_until=cancellations.knowledge.known_until(now),
+            sent_at=now,
+        )
+
     async def announce_released(self, machines: list[str]) -> None:
         """Announce a release that the cloud has confirmed and that has no stored record."""
         await self._peers.broadcast(Released(RELEASED, self._node, machines))
--- a/topazhold/control/peer_messages.py
+++ b/topazhold/control/peer_messages.py
@@ -15,6 +15,7 @@
 RELAY = "relay"
 SUMMARY = "summary"
 RELEASED = "released"
+KNOWN = "known"
 
 
 class Ping(NamedTuple):
@@ -81,3 +82,17 @@
     tag: str
     node: str
     machines: list[str]
+
+
+class Known(NamedTuple):
+    """Until when the sender knows all confirmed cancellations, and which record shows them.
+
+    The receiver knows as much once it has all entries of the record. Times are wall-clock times.
+    """
+
+    tag: str
+    node: str
+    incarnation: str
+    last: int  # number of the record's last entry
+    known_until: float
+    sent_at: float
--- a/topazhold/control/peer_service.py
+++ b/topazhold/control/peer_service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Any
@@ -10,15 +11,12 @@
 
 from topazhold.control.cancellation_exchange import CancellationExchange
 from topazhold.control.controller_services import ControllerState
-from topazhold.control.follower_heartbeats import (
-    PEER_EXPIRY_SILENCES,
-    SILENCE_LEASE_SHARE,
-    FollowerHeartbeats,
-)
+from topazhold.control.follower_heartbeats import FollowerHeartbeats, peer_expiry_s
 from topazhold.control.leadership_service import LeadershipService
 from topazhold.control.peer_announcer import PeerAnnouncer
 from topazhold.control.peer_messages import (
     CANCELLED,
+    KNOWN,
     PING,
     PLACED,
     RECEIPT,
@@ -26,6 +24,7 @@
     RELEASED,
     SUMMARY,
     Cancelled,
+    Known,
     Ping,
     Placed,
     Receipt,
@@ -62,13 +61,16 @@
         self._leadership_service = leadership_service
         self._current = leadership_service.current
         self._recipients = recipients
-        self._peer_expiry_s = PEER_EXPIRY_SILENCES * SILENCE_LEASE_SHARE * controller_lease_s
+        self._controller_lease_s = controller_lease_s
+        self._peer_expiry_s = peer_expiry_s(controller_lease_s)
         self._loaded_leader = ""  # the last to ping as leader of a loaded term
         self._loaded_leader_at = DISTANT_PAST
         self._peer_incarnations: dict[str, str] = {}
+        self._known_senders: dict[str, str] = {}  # incarnation, of peers that send `Known`
         self._handlers: dict[str, Callable[[tuple[Any, ...]], Awaitable[None]]] = {
             PING: self._on_ping,
             CANCELLED: self._on_cancelled,
+            KNOWN: self._on_known,
             RECEIPT: self._on_receipt,
             RELEASED: self._on_released,
             PLACED: self._on_placed,
@@ -108,6 +110,8 @@
         )
         if from_leader:
             self._loaded_leader, self._loaded_leader_at = peer, now
+        has_store_as_leader = from_leader and bool(ping.store_available)
+        self._infer_knowledge(peer, ping.cancellation_record, has_store_as_leader)
         await self._compare_records(peer, ping.cancellation_record, ping.receipts)
         leadership = self._state.leadership
         if ping.leader and int(ping.term) >= leadership.term:
@@ -129,6 +133,34 @@
             peer, str(receipt_incarnation), int(upto)
         )
 
+    async def _on_known(self, message: tuple[Any, ...]) -> None:
+        """Learn until when a peer knows all cancellations, if its record has arrived here."""
+        known = Known(*message)
+        peer, incarnation = str(known.node), str(known.incarnation)
+        self._known_senders[peer] = incarnation
+        cancellations = self._state.cancellations
+        if cancellations.has_all_of(peer, incarnation, int(known.last)):
+            cancellations.knowledge.on_peer_record(
+                peer, incarnation, float(known.sent_at), float(known.known_until)
+            )
+
+    def _infer_knowledge(self, peer: str, record: Any, has_store_as_leader: bool) -> None:
+        """Infer from a ping what a peer of a version without `Known` knows.
+
+        Such a leader notices within a controller's lease that it has lost the store.
+        """
+        incarnation, last, informed = record
+        cancellations = self._state.cancellations
+        if self._known_senders.get(peer) == incarnation or not cancellations.has_all_of(
+            peer, str(incarnation), int(last)
+        ):
+            return
+        sent_at = time.time() - self._controller_lease_s
+        knows_all = bool(informed) and has_store_as_leader
+        cancellations.knowledge.on_peer_record(
+            peer, str(incarnation), sent_at, sent_at if knows_all else DISTANT_PAST
+        )
+
     async def _on_cancelled(self, message: tuple[Any, ...]) -> None:
         await self._recipients.cancellation_exchange.on_cancellations(Cancelled(*message))
 
--- a/topazhold/control/term_watches.py
+++ b/topazhold/control/term_watches.py
@@ -26,6 +26,12 @@
 ApplyChange = Callable[[str, Any, int], Awaitable[None]]
 
 
+class OnRead(Protocol):
+    """Notes that all changes before a wall-clock time have been applied."""
+
+    def __call__(self, requested_at: float, /) -> None: ...
+
+
 class OnForwarded(Protocol):
     """Processes packed heartbeats that a follower has answered and written to the store."""
 
@@ -48,20 +54,40 @@
         self._seen_revisions = revisions
 
     async def jobs_loop(self) -> None:
-        """Watch for jobs submitted or cancelled on any controller."""
-        await self._watch(records.LIVE_PREFIX, self._on_job_changed)
+        """Watch for jobs submitted or cancelled on any controller.
+
+        The watch returns often, as each return shows until when all cancellations are known.
+        """
+        await self._watch(
+            records.LIVE_PREFIX,
+            self._on_job_changed,
+            self._context.heartbeat_interval_s,
+            self._context.cancellations.knowledge.advance,
+        )
 
     async def reservations_loop(self) -> None:
         """Watch the reservations of all controllers."""
-        await self._watch(RESERVATION_PREFIX, self._on_reservations_changed)
+        await self._watch(
+            RESERVATION_PREFIX, self._on_reservations_changed, self._context.worker_lease_s
+        )
 
     async def forwarded_loop(self) -> None:
         """Watch for heartbeats that followers forward by the store while no peer link works."""
-        await self._watch(records.RELAY_PREFIX, self._on_forwarded_changed)
-
-    async def _watch(self, prefix: str, apply_change: ApplyChange) -> None:
+        await self._watch(
+            records.RELAY_PREFIX, self._on_forwarded_changed, self._context.worker_lease_s
+        )
+
+    async def _watch(
+        self,
+        prefix: str,
+        apply_change: ApplyChange,
+        block_s: float,
+        on_read: OnRead | None = None,
+    ) -> None:
+        """Apply all changes under a prefix; `on_read` is told until when they are applied."""
         while True:
-            page = await self._next_page(prefix)
+            requested_at = time.time()
+            page = await self._next_page(prefix, block_s)
             if page is None:
                 await curio.sleep(self._context.retry_s)
                 continue
@@ -69,14 +95,16 @@
                 key, data, revision = wire.parse_event(event)
                 await apply_change(key[len(prefix) :], data, revision)
             self._seen_revisions[prefix] = max(self._seen_revisions[prefix], page.revision)
+            if on_read is not None:
+                on_read(requested_at)
             if page.events:
                 await self._context.request_plan()
 
-    async def _next_page(self, prefix: str) -> WatchPage | None:
+    async def _next_page(self, prefix: str, block_s: float) -> WatchPage | None:
         """Return the next changes under a prefix, or None if the request failed."""
         since = self._seen_revisions[prefix]
         try:
-            return await self._context.store.watch(prefix, since, self._context.worker_lease_s)
+            return await self._context.store.watch(prefix, since, block_s)
         except WatchCompactedError:
             raise LeadershipLostError("changes were missed") from None
         except KeyValueStoreError as exc:
--- a/topazhold/core/cancellations.py
+++ b/topazhold/core/cancellations.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterable
 from typing import Any, NamedTuple
 
+from topazhold.core.cancellation_knowledge import CancellationKnowledge
 from topazhold.wire import messages as wire
 from topazhold.wire.workers import Command, Heartbeat, TaskStatus
 
@@ -56,8 +57,15 @@
     identifies.
     """
 
-    def __init__(self, incarnation: str, cancel_s: float, lease_s: float) -> None:
+    def __init__(
+        self,
+        incarnation: str,
+        cancel_s: float,
+        lease_s: float,
+        knowledge: CancellationKnowledge | None = None,
+    ) -> None:
         self.incarnation = incarnation
+        self.knowledge = knowledge if knowledge is not None else CancellationKnowledge()
         #: Whether the record is known to lack no confirmed cancellation. A new process misses
         #: the earlier ones until an informed peer has sent it all entries, or until it has
         #: loaded the whole state as leader.
@@ -187,4 +195,7 @@
 
     def has_all_of(self, peer: str, incarnation: str, last: int) -> bool:
         """Return whether all of a peer's entries, up to its number `last`, have been received."""
-        return self._received.get(peer) == (incarnation, last)
+        received = self._received.get(peer)
+        return (
+            received is not None and received.incarnation == incarnation and received.upto >= last
+        )
--- a/topazhold/settings.py
+++ b/topazhold/settings.py
@@ -145,6 +145,8 @@
     cloud: CloudLimits
     limits: ProcessLimits
     objectives: list[Objective] = []
+    #: Greatest difference of a controller's wall clock from the true time, in milliseconds.
+    clock_error_ms: float = 100.0
 
     def wait_objectives(self) -> dict[str, tuple[float, float]]:
         """Return the shortest and longest wait objective of each job class, in seconds."""
