Count a watch as current only up to the last request that the store served

What callers saw: a leader that the store refuses alone, in a zone that the other zone can't reach, kept its workers and the tasks of a job that was cancelled through its successor.

Cause: a watch that is open while the store refuses its controller returns without changes at the end of its time.

--- a/tests/test_zone_cuts.py
+++ b/tests/test_zone_cuts.py
@@ -207,3 +207,25 @@
         await wait_for_deadline(scenario)
 
     assert_no_violations(run_scenario(act, monkeypatch, site))
+
+
+@pytest.mark.parametrize("outage_start", [0.0, 0.3, 0.55])
+@pytest.mark.parametrize("site", SITES)
+def test_cancelled_tasks_end_though_a_refused_leader_holds_their_workers(
+    site: str, outage_start: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against: a watch that returns nothing while the store refuses counts as a read."""
+
+    async def act(scenario: Scenario) -> None:
+        jobs = await start_work(scenario, SINGLE_ZONE, SINGLE_ZONE)
+        leader = scenario.leader()
+        assert leader is not None
+        scenario.store.refused_controllers.add(leader)
+        scenario.cut_off(SINGLE_ZONE, [DOUBLE_ZONE])
+        await curio.sleep(CANCEL_DELAY_S)
+        await cancel_all(scenario, jobs, SINGLE_ZONE)
+        await curio.sleep(outage_start * scenario.worker_settings.cancel_s)
+        scenario.cloud.down = True
+        await wait_for_deadline(scenario)
+
+    assert_no_violations(run_scenario(act, monkeypatch, site))
--- a/topazhold/control/controller.py
+++ b/topazhold/control/controller.py
@@ -251,9 +251,9 @@
         """
         if not self.services.catalog.machine_types:
             return False
-        return self.services.store.is_available(now) or not self.follower_heartbeats.is_isolated(
+        return self.services.store.health.is_available(
             now
-        )
+        ) or not self.follower_heartbeats.is_isolated(now)
 
     async def _on_accepted(self, job: Job) -> None:
         """Handle a job accepted here: schedule it as leader, and search machines for a gang."""
--- a/topazhold/control/election.py
+++ b/topazhold/control/election.py
@@ -150,7 +150,7 @@
         """
         if self.id is None or self.is_valid(now):
             return False
-        return self._store.unanswered_requests >= UNANSWERED_THRESHOLD
+        return self._store.health.unanswered_requests >= UNANSWERED_THRESHOLD
 
     async def revoke(self) -> None:
         """Revoke the lease, so that other controllers need not wait for it to expire."""
--- a/topazhold/control/heartbeat_service.py
+++ b/topazhold/control/heartbeat_service.py
@@ -86,7 +86,9 @@
 
         A leader may respond until its lease may have passed to another controller.
         """
-        partitioned = self._follower_heartbeats.is_partitioned(self._store.is_available(now), now)
+        partitioned = self._follower_heartbeats.is_partitioned(
+            self._store.health.is_available(now), now
+        )
         return partitioned and not self._leadership_service.lease.is_valid(now)
 
     def _refuse_renewal(self) -> Response:
--- a/topazhold/control/key_value_store.py
+++ b/topazhold/control/key_value_store.py
@@ -7,12 +7,14 @@
 from __future__ import annotations
 
 import logging
+import time
 from collections.abc import Sequence
 from http import HTTPStatus
 from typing import Any, NamedTuple, TypeVar
 
 import curio
 
+from topazhold.control.store_health import StoreHealth
 from topazhold.control.store_limits import StoreLimits
 from topazhold.interfaces.store import (
     DECISION_PRIORITY,
@@ -40,8 +42,6 @@
 
 #: Maximum entries in a page of a listing.
 PAGE_ENTRIES = 500
-#: Failures that last shorter than this multiple of the request timeout count as transient.
-TRANSIENT_FAILURE_TIMEOUTS = 0.75
 #: Maximum seconds that a request waits for the limits.
 MAX_LIMIT_WAIT_S = 1.0
 #: Seconds before retrying a transaction of unknown outcome (at most) or a read of its probe key.
@@ -79,13 +79,7 @@
         self._watch_client = watch_client
         self._limits = StoreLimits(limits)
         self._timeout_s = timeout_s
-        self.failing_since: float | None = None  # monotonic clock, seconds
-        self.unanswered_requests = 0  # consecutive; a refusal counts as a response
-
-    def is_available(self, now: float) -> bool:
-        """Return whether the store answers this controller, ignoring transient failures."""
-        transient_s = TRANSIENT_FAILURE_TIMEOUTS * self._timeout_s
-        return self.failing_since is None or now - self.failing_since < transient_s
+        self.health = StoreHealth(timeout_s)
 
     def set_share(self, share: float) -> None:
         """Set this controller's share of the store's limits."""
@@ -121,7 +115,8 @@
 
         Raises StoreUnavailableError or OutcomeUnknownError.
         """
-        sent_at = await self._acquire_limits(request)
+        sent_at, sent_at_wall = await self._acquire_limits(request), time.time()
+        is_watch = request.block_s is not None
         client, timeout_s = self._client, self._timeout_s
         if request.block_s is not None:
             client, timeout_s = self._watch_client, request.block_s + self._timeout_s
@@ -130,25 +125,17 @@
                 request.method, request.target, request.message, timeout_s
             )
         except (RequestNotSentError, NoResponseError) as exc:
-            self.unanswered_requests += 1
-            self._record_failure(sent_at)
+            self.health.on_no_response(sent_at, is_watch)
             if isinstance(exc, RequestNotSentError):
                 raise StoreUnavailableError(str(exc)) from None
             raise OutcomeUnknownError(str(exc)) from None
-        self.unanswered_requests = 0
+        self.health.on_response(status, sent_at, sent_at_wall, is_watch)
         if status == HTTPStatus.TOO_MANY_REQUESTS:
             self._limits.on_rate_limited()
-        elif status == HTTPStatus.SERVICE_UNAVAILABLE:
-            self._record_failure(sent_at)
-        else:
-            self.failing_since = None
+        elif status != HTTPStatus.SERVICE_UNAVAILABLE:
             return status, body
         raise StoreUnavailableError(f"status {status}")
 
-    def _record_failure(self, now: float) -> None:
-        if self.failing_since is None:
-            self.failing_since = now
-
     async def get(self, key: str, priority: float = USER_PRIORITY) -> Entry | None:
         """Return a key's entry, or None if the key does not exist."""
         status, body = await self._send(_Request("GET", f"{wire.STORE_PATH}/{key}", priority))
--- a/topazhold/control/leader_term.py
+++ b/topazhold/control/leader_term.py
@@ -184,7 +184,7 @@
 
         While the store does not answer, a cancellation may have gone unnoticed.
         """
-        return self.context.lease_is_valid(now) and self.context.store.is_available(now)
+        return self.context.lease_is_valid(now) and self.context.store.health.is_available(now)
 
     async def _on_direct_heartbeat(self, heartbeat: Heartbeat) -> None:
         await self.on_heartbeat(heartbeat, direct=True)
--- a/topazhold/control/peer_announcer.py
+++ b/topazhold/control/peer_announcer.py
@@ -59,7 +59,7 @@
                 state.leadership.term,
                 state.leadership.leader or "",
                 silent_machines,
-                store_available=self._services.store.failing_since is None,
+                store_available=self._services.store.health.failing_since is None,
                 can_enforce=False,
                 cancellation_record=[
                     cancellations.incarnation,
--- a/topazhold/control/term_watches.py
+++ b/topazhold/control/term_watches.py
@@ -96,7 +96,8 @@
                 await apply_change(key[len(prefix) :], data, revision)
             self._seen_revisions[prefix] = max(self._seen_revisions[prefix], page.revision)
             if on_read is not None:
-                on_read(requested_at)
+                # A watch may return nothing while the store refuses this controller.
+                on_read(min(requested_at, self._context.store.health.served_at))
             if page.events:
                 await self._context.request_plan()
 
--- a/topazhold/control/users.py
+++ b/topazhold/control/users.py
@@ -124,7 +124,7 @@
 
     async def _retry_after_s(self) -> float:
         """Return the seconds for Retry-After: fixed in an outage, else the rate limit's."""
-        if self._store.failing_since is not None:
+        if self._store.health.failing_since is not None:
             return OUTAGE_RETRY_AFTER_S
         return max(MIN_RETRY_AFTER_S, await self._store.wait_s(USER_PRIORITY, 1))
 
--- a/topazhold/core/cancellation_knowledge.py
+++ b/topazhold/core/cancellation_knowledge.py
@@ -13,10 +13,18 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from typing import NamedTuple
 
 from topazhold.core.jobs import DISTANT_PAST
 
 
+class StoreRefusals(NamedTuple):
+    """A time in which the store answered every request of a controller with a refusal."""
+
+    since: float
+    until: float
+
+
 class _PeerCoverage:
     """Until when the cancellations that a peer has confirmed itself are known here."""
 
@@ -39,8 +47,11 @@
     confirmed while it was heard has reached another controller first.
     """
 
-    def __init__(self, peers: Iterable[str] = (), max_gap_s: float = 0.0) -> None:
+    def __init__(
+        self, peers: Iterable[str] = (), max_gap_s: float = 0.0, clock_error_s: float = 0.0
+    ) -> None:
         self._max_gap_s = max_gap_s
+        self._clock_error_s = clock_error_s  # greatest difference between two wall clocks
         self._known_until = DISTANT_PAST
         self._coverage = {peer: _PeerCoverage() for peer in peers}
 
@@ -73,6 +84,16 @@
         coverage.sent_at = max(coverage.sent_at, sent_at)
         self._combine_peers()
 
+    def on_shared_refusals(self, own: StoreRefusals, of_peer: StoreRefusals) -> None:
+        """Note that the store has refused this controller and a peer at the same time.
+
+        It refuses either a single controller or all of them, so nobody can commit a cancellation
+        while it refuses two. What was known when that began stays complete.
+        """
+        since = max(own.since, of_peer.since) + self._clock_error_s
+        if self._known_until >= since:
+            self.advance(min(own.until, of_peer.until))
+
     def _combine_peers(self) -> None:
         """Advance to the time up to which the confirmations of every single peer are known."""
         for coverage in self._coverage.values():
