Keep leases in an outage of the store in which a controller falls silent

Cause: while the store is out, the time up to which all cancellations are known advanced only if every peer was heard. If one ended, all leases of the deployment ended in an outage of more than `cancel_s`, though nobody could cancel anything.

Change: `known` carries the time in which the store refused every request of its sender. No response at all, as in a zone that is cut off, proves nothing.

--- a/tests/test_cancellation_knowledge.py
+++ b/tests/test_cancellation_knowledge.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from topazhold.core.cancellation_knowledge import CancellationKnowledge
+from topazhold.core.cancellation_knowledge import CancellationKnowledge, StoreRefusals
 from topazhold.core.jobs import DISTANT_PAST
 
 NOW = 1000.0
@@ -90,3 +90,16 @@
 def test_messages_of_unknown_controllers_are_ignored() -> None:
     knowledge = informed_knowledge()
     assert heard(knowledge, "stranger", 500.0, known_until=500.0) == 99.5
+
+
+def test_knowledge_stays_complete_while_the_store_refuses_two_controllers() -> None:
+    """Nobody can commit a cancellation then, so a controller may fall silent meanwhile."""
+    knowledge = informed_knowledge()
+    knowledge.on_shared_refusals(StoreRefusals(90.0, 160.0), StoreRefusals(99.2, 150.0))
+    assert knowledge.known_until(NOW) == 150.0
+
+
+def test_refusals_that_began_later_than_the_knowledge_prove_nothing() -> None:
+    knowledge = informed_knowledge()
+    knowledge.on_shared_refusals(StoreRefusals(90.0, 160.0), StoreRefusals(99.6, 150.0))
+    assert knowledge.known_until(NOW) == 99.5
--- a/topazhold/control/controller.py
+++ b/topazhold/control/controller.py
@@ -147,6 +147,7 @@
                 self.placement_search,
                 self.announcer,
             ),
+            services.store.health,
             services.controller_lease_s,
         )
         self.cancellation_enforcer = CancellationEnforcer(
@@ -251,9 +252,8 @@
         """
         if not self.services.catalog.machine_types:
             return False
-        return self.services.store.health.is_available(
-            now
-        ) or not self.follower_heartbeats.is_isolated(now)
+        store_available = self.services.store.health.is_available(now)
+        return store_available or not self.follower_heartbeats.is_isolated(now)
 
     async def _on_accepted(self, job: Job) -> None:
         """Handle a job accepted here: schedule it as leader, and search machines for a gang."""
--- a/topazhold/control/controller_services.py
+++ b/topazhold/control/controller_services.py
@@ -110,6 +110,7 @@
     knowledge = CancellationKnowledge(
         [seed.node_name for seed in settings.seeds],
         peer_expiry_s(controller_lease_duration_s(settings)),
+        settings.cluster.max_clock_difference_s,
     )
     return ControllerState(
         leadership=Leadership(name),
--- a/topazhold/control/lease_renewals.py
+++ b/topazhold/control/lease_renewals.py
@@ -17,7 +17,6 @@
 
 #: Maximum drift between two monotonic clocks, as a share of the elapsed time.
 MAX_CLOCK_DRIFT_SHARE = 0.002
-MS_PER_S = 1000
 
 
 class LeaseRenewals:
@@ -30,12 +29,13 @@
     def __init__(self, cancellations: Cancellations, cluster: Cluster, min_limit_s: float) -> None:
         self._cancellations = cancellations
         workers = cluster.workers
-        clock_error_s = 2 * cluster.clock_error_ms / MS_PER_S
         # The last lease that is renewed must end within `cancel_s` of the earliest cancellation
         # that may be unknown here.
         self._limit_s = max(
             min_limit_s,
-            workers.cancel_s - workers.lease_s * (1 + MAX_CLOCK_DRIFT_SHARE) - clock_error_s,
+            workers.cancel_s
+            - workers.lease_s * (1 + MAX_CLOCK_DRIFT_SHARE)
+            - cluster.max_clock_difference_s,
         )
         self._was_allowed: bool | None = None
 
--- a/topazhold/control/peer_announcer.py
+++ b/topazhold/control/peer_announcer.py
@@ -72,6 +72,7 @@
 
     def _known_cancellations(self) -> Known:
         cancellations, now = self._state.cancellations, time.time()
+        refusals = self._services.store.health.refusals
         return Known(
             KNOWN,
             self._node,
@@ -79,6 +80,7 @@
             cancellations.last_number,
             known_until=cancellations.knowledge.known_until(now),
             sent_at=now,
+            store_refusals=list(refusals) if refusals is not None else None,
         )
 
     async def announce_released(self, machines: list[str]) -> None:
--- a/topazhold/control/peer_messages.py
+++ b/topazhold/control/peer_messages.py
@@ -96,3 +96,4 @@
     last: int  # number of the record's last entry
     known_until: float
     sent_at: float
+    store_refusals: list[float] | None  # times between which the store refused the sender
--- a/topazhold/control/peer_service.py
+++ b/topazhold/control/peer_service.py
@@ -33,6 +33,8 @@
     Summary,
 )
 from topazhold.control.placement_search import PlacementSearch
+from topazhold.control.store_health import StoreHealth
+from topazhold.core.cancellation_knowledge import StoreRefusals
 from topazhold.core.jobs import DISTANT_PAST
 from topazhold.core.zone_summary import unpack_names
 
@@ -55,9 +57,11 @@
         state: ControllerState,
         leadership_service: LeadershipService,
         recipients: PeerMessageRecipients,
+        store_health: StoreHealth,
         controller_lease_s: float,
     ) -> None:
         self._state = state
+        self._store_health = store_health
         self._leadership_service = leadership_service
         self._current = leadership_service.current
         self._recipients = recipients
@@ -143,6 +147,12 @@
             cancellations.knowledge.on_peer_record(
                 peer, incarnation, float(known.sent_at), float(known.known_until)
             )
+        own_refusals = self._store_health.refusals
+        if own_refusals is not None and known.store_refusals is not None:
+            since, until = known.store_refusals
+            cancellations.knowledge.on_shared_refusals(
+                own_refusals, StoreRefusals(float(since), float(until))
+            )
 
     def _infer_knowledge(self, peer: str, record: Any, has_store_as_leader: bool) -> None:
         """Infer from a ping what a peer of a version without `Known` knows.
--- a/topazhold/settings.py
+++ b/topazhold/settings.py
@@ -19,6 +19,7 @@
 
 #: Minimum duration of a worker's lease, in heartbeat intervals.
 MIN_HEARTBEATS_PER_LEASE = 2
+MS_PER_S = 1000
 #: Highest TCP port.
 MAX_PORT = 65535
 
@@ -148,6 +149,11 @@
     #: Greatest difference of a controller's wall clock from the true time, in milliseconds.
     clock_error_ms: float = 100.0
 
+    @property
+    def max_clock_difference_s(self) -> float:
+        """Greatest difference between the wall clocks of two controllers, in seconds."""
+        return 2 * self.clock_error_ms / MS_PER_S
+
     def wait_objectives(self) -> dict[str, tuple[float, float]]:
         """Return the shortest and longest wait objective of each job class, in seconds."""
         waits: dict[str, tuple[float, float]] = {}
