Keep workers whose jobs the store shows to be live while no leader is heard

Cause: in a cut between two zones the controller of the zone without the leader hears nobody who knows all cancellations, and would give up its workers after `cancel_s` less a lease.

Change: such a controller reaches the store. Half way to the limit it begins to read which jobs are live (`LiveJobs`), and renews the leases of workers all of whose jobs were live then. A job that is not is looked up; if it was cancelled, its tasks are killed in the response.

Result: the new test, a cut between two zones for `cancel_s` and a lease, a cancellation and an outage of the cloud: the cancelled tasks end and all others are kept.

--- a/tests/test_kept_work.py
+++ b/tests/test_kept_work.py
@@ -9,6 +9,7 @@
 
 from tests.fakes.worker import FakeWorker
 from tests.scenarios import SITES, Scenario, assert_no_violations, run_scenario
+from tests.test_zone_cuts import cancel_all, start_work, wait_for_deadline
 
 Fault = Callable[[Scenario], Awaitable[None]]
 
@@ -58,3 +59,33 @@
         assert len(kept_workers(incarnations, scenario)) == len(incarnations)
 
     assert_no_violations(run_scenario(act, monkeypatch, site))
+
+
+@pytest.mark.parametrize("zone", ["a", "b"])
+@pytest.mark.parametrize("site", SITES)
+def test_work_outlasts_a_cut_between_two_zones(
+    site: str, zone: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against: a controller that hears no leader gives up its workers, or keeps a
+    cancelled job, though it can read in the store which jobs are live.
+    """
+
+    async def act(scenario: Scenario) -> None:
+        leader_zone = "b" if zone == "a" else "a"
+        jobs = await start_work(scenario, zone, leader_zone)
+        incarnations = {worker.name: worker.incarnation for worker in scenario.busy_workers()}
+        leader = scenario.leader()
+        assert leader is not None
+        # Without workers of its own the leader would resign.
+        await scenario.submit_running_jobs(2, leader, gpus=2.0, tasks=3, zone=leader_zone)
+        scenario.cut_off("a", ["b"])
+        await curio.sleep(5.0)
+        await cancel_all(scenario, jobs[:1], zone)
+        scenario.cloud.down = True
+        await wait_for_deadline(scenario)
+        kept = kept_workers(incarnations, scenario)
+        assert {task.job for worker in kept for task in worker.active_tasks()} == {jobs[1]}
+        running = {task.task_name for worker in kept for task in worker.active_tasks()}
+        assert len(running) == 3, "no task of the other job was lost"
+
+    assert_no_violations(run_scenario(act, monkeypatch, site))
--- a/topazhold/control/controller.py
+++ b/topazhold/control/controller.py
@@ -29,6 +29,7 @@
 from topazhold.control.leader_term import CurrentTerm, LeaderTerm
 from topazhold.control.leadership_service import LeadershipService
 from topazhold.control.lease_renewals import LeaseRenewals
+from topazhold.control.live_jobs import LiveJobs
 from topazhold.control.peer_announcer import PeerAnnouncer
 from topazhold.control.peer_group import PeerGroup
 from topazhold.control.peer_service import PeerMessageRecipients, PeerService
@@ -127,16 +128,23 @@
     def _wire_request_handlers(self) -> None:
         """Create the handlers of requests and peers' messages, and the cancellation enforcer."""
         services, state = self.services, self.state
+        lease_renewals = LeaseRenewals(
+            state.cancellations, self.settings.cluster, peer_expiry_s(services.controller_lease_s)
+        )
+        self.live_jobs = LiveJobs(
+            services.store,
+            state.cancellations,
+            lease_renewals,
+            self.cancellation_exchange.confirm,
+            self.settings.cluster.workers.heartbeat_interval_s,
+        )
         self.heartbeat_service = HeartbeatService(
             state,
             services.store,
             self.leadership_service,
             self.follower_heartbeats,
-            LeaseRenewals(
-                state.cancellations,
-                self.settings.cluster,
-                peer_expiry_s(services.controller_lease_s),
-            ),
+            lease_renewals,
+            self.live_jobs,
         )
         self.peer_service = PeerService(
             state,
@@ -212,6 +220,7 @@
                 (WorkCategory.PEERS, self.announcer.loop),
                 (WorkCategory.SEARCHES, self.placement_search.loop),
                 (WorkCategory.PEERS, self.heartbeat_forwarding.loop),
+                (WorkCategory.STATE, self.live_jobs.loop),
                 (WorkCategory.OTHER, leadership.resign_loop),
                 (WorkCategory.COMMANDS, self.cancellation_enforcer.loop),
             ):
--- a/topazhold/control/heartbeat_service.py
+++ b/topazhold/control/heartbeat_service.py
@@ -5,8 +5,9 @@
   respond 200 with kills of cancelled jobs only, which renews the worker's lease.
 - A controller that is partitioned from the store and all peers first responds 421 to workers
   that may find another controller; it answers the others as above.
-- A controller of any role that may not know all cancellations responds 421 to all workers once
-  the tasks could otherwise outlast `cancel_s` (`lease_renewals`).
+- A controller of any role that may not know all cancellations responds 421 once the tasks
+  could otherwise outlast `cancel_s` (`lease_renewals`), unless the store shows that the worker's
+  jobs are live (`live_jobs`).
 - Otherwise the response is 421, with the leader's name if known.
 """
 
@@ -23,6 +24,7 @@
 from topazhold.control.leader_term import LeaderTerm
 from topazhold.control.leadership_service import LeadershipService
 from topazhold.control.lease_renewals import LeaseRenewals
+from topazhold.control.live_jobs import LiveJobs
 from topazhold.io.http import Response
 from topazhold.wire import messages as wire
 from topazhold.wire.codec import InvalidMessageError, decode
@@ -41,10 +43,12 @@
         leadership_service: LeadershipService,
         follower_heartbeats: FollowerHeartbeats,
         lease_renewals: LeaseRenewals,
+        live_jobs: LiveJobs,
     ) -> None:
         self._leadership = state.leadership
         self._cancellations = state.cancellations
         self._lease_renewals = lease_renewals
+        self._live_jobs = live_jobs
         self._placement_hints = state.placement_hints
         self._store = store
         self._leadership_service = leadership_service
@@ -62,7 +66,7 @@
             return await self._on_higher_term(heartbeat.fencing_token)
         leader_term = self._current.leader_term
         now = await curio.clock()
-        if not self._may_extend_leases(now):
+        if not self._may_extend_leases(now) and not self._live_jobs.covers(heartbeat):
             return self._refuse_renewal()
         if self._is_partitioned(
             now
--- a/topazhold/control/lease_renewals.py
+++ b/topazhold/control/lease_renewals.py
@@ -22,8 +22,9 @@
 class LeaseRenewals:
     """Decides whether this controller may renew workers' leases at present.
 
-    `min_limit_s` is the least age of its knowledge that is tolerated. It takes effect only where
-    `cancel_s` is hardly longer than a lease, so that no limit could keep both.
+    `limit_s` is the age of its knowledge, in seconds, up to which it may. `min_limit_s` is the
+    least limit. It takes effect only where `cancel_s` is hardly longer than a lease, so that no
+    limit could keep both.
     """
 
     def __init__(self, cancellations: Cancellations, cluster: Cluster, min_limit_s: float) -> None:
@@ -31,7 +32,7 @@
         workers = cluster.workers
         # The last lease that is renewed must end within `cancel_s` of the earliest cancellation
         # that may be unknown here.
-        self._limit_s = max(
+        self.limit_s = max(
             min_limit_s,
             workers.cancel_s
             - workers.lease_s * (1 + MAX_CLOCK_DRIFT_SHARE)
@@ -41,14 +42,15 @@
 
     def are_allowed(self) -> bool:
         """Return whether a renewed lease can't keep a cancelled task for longer than `cancel_s`."""
-        age_s = self._knowledge_age_s()
-        allowed = self._cancellations.informed and age_s < self._limit_s
+        age_s = self.knowledge_age_s()
+        allowed = self._cancellations.informed and age_s < self.limit_s
         if allowed is not self._was_allowed:
             self._log_change(allowed, age_s)
             self._was_allowed = allowed
         return allowed
 
-    def _knowledge_age_s(self) -> float:
+    def knowledge_age_s(self) -> float:
+        """Return for how long cancellations may have been confirmed that are not known here."""
         now = time.time()
         return now - self._cancellations.knowledge.known_until(now)
 
@@ -57,7 +59,8 @@
             log.info("renewing leases: all cancellations confirmed %.1f s ago are known", age_s)
         elif self._cancellations.informed:
             log.info(
-                "not renewing leases: cancellations confirmed in the last %.1f s may be unknown",
+                "not renewing leases, but for jobs that the store shows to be live:"
+                " cancellations confirmed in the last %.1f s may be unknown",
                 age_s,
             )
         else:
--- a/topazhold/core/cancellations.py
+++ b/topazhold/core/cancellations.py
@@ -113,11 +113,7 @@
         """Return the tasks in a heartbeat that have not ended and whose jobs are cancelled."""
         if not self._entries:
             return []
-        return [
-            task
-            for task in tasks
-            if task.state != wire.ENDED and task.task_name.partition("/")[0] in self._entries
-        ]
+        return [task for task in tasks if task.state != wire.ENDED and task.job in self._entries]
 
     def kill_commands(self, heartbeat: Heartbeat) -> list[Command]:
         """Return kills for a heartbeat's tasks of cancelled jobs; no other job state is needed."""
--- a/topazhold/core/placement_hints.py
+++ b/topazhold/core/placement_hints.py
@@ -65,9 +65,7 @@
         if (heartbeat.incarnation, heartbeat.sequence) <= (hint.incarnation, hint.sequence):
             return
         hint.incarnation, hint.sequence = heartbeat.incarnation, heartbeat.sequence
-        hint.jobs = frozenset(
-            task.task_name.partition("/")[0] for task in heartbeat.tasks if task.state != wire.ENDED
-        )
+        hint.jobs = frozenset(task.job for task in heartbeat.tasks if task.state != wire.ENDED)
 
     def update_from_list(self, listed_machines: Iterable[ListedMachine]) -> None:
         """Apply the cloud's list, for machines that no message or heartbeat has named."""
--- a/topazhold/wire/workers.py
+++ b/topazhold/wire/workers.py
@@ -40,6 +40,11 @@
     cause: str | None = None
     checkpoint_saved: bool | None = field(name="kept", default=None)  # at the stop
 
+    @property
+    def job(self) -> str:
+        """The id of the task's job."""
+        return self.task_name.partition("/")[0]
+
 
 class Heartbeat(msgspec.Struct):
     """A worker's heartbeat with the status of its machine and tasks.
