Kill cancelled tasks also on machines that are queued for release

What callers saw: a zone's cut ends while the cloud is out, after the release of machines with tasks of a cancelled job was decided. The tasks ran on for as long as the outage lasted.

Cause: a leader ignores heartbeats of machines that it is about to release, and answered them with 200 and no commands: the lease was renewed, nothing was killed. It relied on the release, which the cloud refused. A heartbeat that was overtaken while it waited got no kills either.

Change: such heartbeats get the kills of the record of cancellations, which go by the attempts in the heartbeat and need no scheduler. The check of renewals is one call in `HeartbeatService`.

--- a/tests/test_zone_cuts.py
+++ b/tests/test_zone_cuts.py
@@ -229,3 +229,27 @@
         await wait_for_deadline(scenario)
 
     assert_no_violations(run_scenario(act, monkeypatch, site))
+
+
+@pytest.mark.parametrize("zone", [SINGLE_ZONE, DOUBLE_ZONE])
+@pytest.mark.parametrize("site", SITES)
+def test_cancelled_tasks_end_though_their_machines_are_queued_for_release(
+    site: str, zone: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against: a leader renews the lease of a machine that the cloud does not release, and
+    sends it no kills. The cut ends when the release has been decided.
+    """
+
+    async def act(scenario: Scenario) -> None:
+        other_zone = SINGLE_ZONE if zone == DOUBLE_ZONE else DOUBLE_ZONE
+        jobs = await start_work(scenario, zone, other_zone)
+        scenario.cloud.down = True
+        isolate_zone(scenario, zone)
+        await curio.sleep(1.0)
+        await cancel_all(scenario, jobs, zone)
+        await curio.sleep(0.75 * scenario.worker_settings.cancel_s)
+        assert scenario.busy_workers()
+        scenario.network.cuts.clear()
+        await wait_for_deadline(scenario)
+
+    assert_no_violations(run_scenario(act, monkeypatch, site))
--- a/topazhold/control/heartbeat_service.py
+++ b/topazhold/control/heartbeat_service.py
@@ -66,7 +66,7 @@
             return await self._on_higher_term(heartbeat.fencing_token)
         leader_term = self._current.leader_term
         now = await curio.clock()
-        if not self._may_extend_leases(now) and not self._live_jobs.covers(heartbeat):
+        if not self._lease_renewals.are_allowed() and not self._live_jobs.covers(heartbeat):
             return self._refuse_renewal()
         if self._is_partitioned(
             now
@@ -113,10 +113,6 @@
             return _redirect(None)  # the term ended while waiting for a plan
         return Response(HTTPStatus.OK, Commands(leader_term.term, commands))
 
-    def _may_extend_leases(self, now: float) -> bool:
-        """Return whether a 200 can't keep a cancelled task alive for longer than `cancel_s`."""
-        return self._lease_renewals.are_allowed()
-
     def _answer_locally(self, heartbeat: Heartbeat, term: int) -> Response:
         """Return a 200 with kills of cancelled jobs only; this needs no scheduler."""
         self._placement_hints.update_from_heartbeat(heartbeat)
--- a/topazhold/control/leader_term.py
+++ b/topazhold/control/leader_term.py
@@ -156,22 +156,26 @@
     ) -> tuple[Machine | None, list[Command]]:
         """Process a worker's heartbeat; return its machine and the commands for the response.
 
-        `direct` marks the response to a direct command, which gets no commands. Neither does a
-        heartbeat that was overtaken by a newer one or that matches no machine.
+        `direct` marks the response to a direct command, which gets no commands. A heartbeat that
+        was overtaken by a newer one, or is of a machine that is unknown or about to be released,
+        gets only kills of cancelled jobs: its response renews the lease all the same.
         """
         now = await curio.clock()
         changes_before = self.scheduler.changes
         machine = self.scheduler.on_heartbeat(heartbeat, direct, now)
         if self.scheduler.changes != changes_before:
             await self.context.request_plan()
-        if machine is None or direct:
+        if direct:
             return machine, []
+        if machine is None:
+            return None, self.context.cancellations.kill_commands(heartbeat)
         if self._planning.is_due(now) and self.scheduler.could_place_on(machine, now):
             await self._planning.wait_for_round(
                 MAX_PLAN_WAIT_HEARTBEATS * self.context.heartbeat_interval_s
             )
         if (heartbeat.incarnation, heartbeat.sequence) != (machine.incarnation, machine.sequence):
-            return machine, []  # overtaken by a newer heartbeat during the wait
+            # Overtaken by a newer heartbeat during the wait.
+            return machine, self.context.cancellations.kill_commands(heartbeat)
         now = await curio.clock()
         # Once the lease may have ended, another controller may lead. It knows the stored
         # intents, but this controller must not launch anything more.
