--- a/tests/simulation/network_faults.py
+++ b/tests/simulation/network_faults.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import curio
@@ -23,6 +24,9 @@
 LATE_WRITE_SHARE = 0.2
 LATE_OPERATION_SHARE = 0.4
 
+#: Duration of a zone's isolation, as a multiple of other faults' durations.
+ZONE_ISOLATION_FACTOR = 3.0
+
 Pairs = list[tuple[str, str]]
 
 
@@ -49,6 +53,14 @@
     await _partition(simulation, fault, [("a", "b")])
 
 
+async def isolate_zone(simulation: Simulation, fault: Fault) -> None:
+    """Isolate a zone from everything else, for up to about three times `cancel_s`."""
+    zone, other_zone = simulation.rng.sample(["a", "b"], 2)
+    outside = (other_zone, "user", FakeKeyValueStore.HOST, FakeCloud.HOST)
+    longer = replace(fault, duration_s=ZONE_ISOLATION_FACTOR * fault.duration_s)
+    await _partition(simulation, longer, [(zone, host) for host in outside])
+
+
 async def isolate_controller(simulation: Simulation, fault: Fault) -> None:
     """Isolate one controller from everything else."""
     name = fault.controller
@@ -137,6 +149,7 @@
 
 FAULTS = {
     "zones_cut": partition_zones,
+    "zone_off": isolate_zone,
     "node_cut": isolate_controller,
     "node_off_state": partition_controller_from_store,
     "node_off_all_but_workers": partition_controller_except_workers,
--- a/tests/test_cancellations.py
+++ b/tests/test_cancellations.py
@@ -411,5 +411,5 @@
 def test_checker_catches_workers_kept_by_who_knows_nothing(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(HeartbeatService, "_may_extend_leases", lambda self, now: True)
+    disable_renewal_limit(monkeypatch)
     assert fails_on_some_seed(all_restart, monkeypatch)
--- a/tests/test_random_days.py
+++ b/tests/test_random_days.py
@@ -40,6 +40,9 @@
     (33, ["state_one_way", "crash_leader", "notice"]),
     (34, ["state_one_way", "state_one_way", "late_copies", "freeze_leader"]),
     (15, ["leader_off_all_but_workers", "crash_election", "blink", "late_copies"]),
+    (35, ["zone_off", "cloud_down"]),
+    (36, ["zone_off", "cloud_down", "roll", "state_down", "cancel_at_end"]),
+    (37, ["zone_off", "zones_cut", "leader_refused", "crash_leader", "late_copies"]),
 ]
 
 
