--- a/tests/test_zone_cuts.py
+++ b/tests/test_zone_cuts.py
@@ -21,6 +21,7 @@
 REGIONAL_HOSTS = (FakeKeyValueStore.HOST, FakeCloud.HOST, "user")
 #: The zone of one controller, and the zone of the two others.
 SINGLE_ZONE, DOUBLE_ZONE = "b", "a"
+OTHER_ZONE = {SINGLE_ZONE: DOUBLE_ZONE, DOUBLE_ZONE: SINGLE_ZONE}
 #: Start of the cloud's outage after the cancellation, as shares of `cancel_s`.
 OUTAGE_STARTS = [0.0, 0.1, 0.2, 0.3, 0.4, 0.5, 0.55, 0.6, 0.65, 0.7, 0.8, 0.9]
 #: Seconds from the cut to the cancellation.
@@ -29,8 +30,7 @@
 
 def isolate_zone(scenario: Scenario, zone: str) -> None:
     """Cut a zone off from the other zones and from all regional hosts."""
-    others = [SINGLE_ZONE if zone == DOUBLE_ZONE else DOUBLE_ZONE, *REGIONAL_HOSTS]
-    scenario.cut_off(zone, others)
+    scenario.cut_off(zone, [OTHER_ZONE[zone], *REGIONAL_HOSTS])
 
 
 def controllers_in(scenario: Scenario, zone: str) -> list[str]:
@@ -69,6 +69,20 @@
         assert await scenario.cancel(job, via) == HTTPStatus.OK
 
 
+async def cancel_in_cut(scenario: Scenario, jobs: list[str], zone: str) -> None:
+    """Cut a zone off, and cancel jobs in it a little later."""
+    isolate_zone(scenario, zone)
+    await curio.sleep(CANCEL_DELAY_S)
+    await cancel_all(scenario, jobs, zone)
+
+
+async def play_cloud_outage(scenario: Scenario, outage_start: float) -> None:
+    """Let the cloud fail at this share of `cancel_s` from now on, and wait for the deadline."""
+    await curio.sleep(outage_start * scenario.worker_settings.cancel_s)
+    scenario.cloud.down = True
+    await wait_for_deadline(scenario)
+
+
 async def wait_for_deadline(scenario: Scenario) -> None:
     """Wait until `cancel_s` and a lease have passed."""
     await curio.sleep(scenario.worker_settings.cancel_s + scenario.worker_settings.lease_s)
@@ -92,12 +106,8 @@
 
     async def act(scenario: Scenario) -> None:
         jobs = await start_work(scenario, zone, leader_zone)
-        isolate_zone(scenario, zone)
-        await curio.sleep(CANCEL_DELAY_S)
-        await cancel_all(scenario, jobs, zone)
-        await curio.sleep(outage_start * scenario.worker_settings.cancel_s)
-        scenario.cloud.down = True
-        await wait_for_deadline(scenario)
+        await cancel_in_cut(scenario, jobs, zone)
+        await play_cloud_outage(scenario, outage_start)
 
     assert_no_violations(run_scenario(act, monkeypatch, site))
 
@@ -113,12 +123,8 @@
     async def act(scenario: Scenario) -> None:
         scenario.versions = dict.fromkeys(old_controllers, unlimited_renewal())
         jobs = await start_work(scenario, SINGLE_ZONE, DOUBLE_ZONE)
-        isolate_zone(scenario, SINGLE_ZONE)
-        await curio.sleep(CANCEL_DELAY_S)
-        await cancel_all(scenario, jobs, SINGLE_ZONE)
-        await curio.sleep(outage_start * scenario.worker_settings.cancel_s)
-        scenario.cloud.down = True
-        await wait_for_deadline(scenario)
+        await cancel_in_cut(scenario, jobs, SINGLE_ZONE)
+        await play_cloud_outage(scenario, outage_start)
 
     assert_no_violations(run_scenario(act, monkeypatch, site))
 
@@ -137,17 +143,14 @@
     """Guards against: a restarted controller takes a peer in its own zone for well informed."""
 
     async def act(scenario: Scenario) -> None:
-        other_zone = SINGLE_ZONE if zone == DOUBLE_ZONE else DOUBLE_ZONE
-        jobs = await start_work(scenario, zone, other_zone)
+        jobs = await start_work(scenario, zone, OTHER_ZONE[zone])
         isolate_zone(scenario, zone)
         await curio.sleep(CANCEL_DELAY_S)
         restarted = controllers_in(scenario, zone)[0]
         await scenario.stop(restarted)
         await scenario.start_again(restarted, restart_delay_s)
         await cancel_all(scenario, jobs, zone)
-        await curio.sleep(outage_start * scenario.worker_settings.cancel_s)
-        scenario.cloud.down = True
-        await wait_for_deadline(scenario)
+        await play_cloud_outage(scenario, outage_start)
 
     assert_no_violations(run_scenario(act, monkeypatch, site))
 
@@ -161,15 +164,10 @@
     """Guards against: without the store, the controllers outside count as informing the zone."""
 
     async def act(scenario: Scenario) -> None:
-        other_zone = SINGLE_ZONE if zone == DOUBLE_ZONE else DOUBLE_ZONE
-        jobs = await start_work(scenario, zone, other_zone)
-        isolate_zone(scenario, zone)
-        await curio.sleep(CANCEL_DELAY_S)
-        await cancel_all(scenario, jobs, zone)
+        jobs = await start_work(scenario, zone, OTHER_ZONE[zone])
+        await cancel_in_cut(scenario, jobs, zone)
         scenario.store.set_down(True)
-        await curio.sleep(outage_start * scenario.worker_settings.cancel_s)
-        scenario.cloud.down = True
-        await wait_for_deadline(scenario)
+        await play_cloud_outage(scenario, outage_start)
 
     assert_no_violations(run_scenario(act, monkeypatch, site))
 
@@ -202,9 +200,7 @@
         await curio.sleep(1.0)
         for name in ended:
             await scenario.start_again(name)
-        await curio.sleep(outage_start * scenario.worker_settings.cancel_s)
-        scenario.cloud.down = True
-        await wait_for_deadline(scenario)
+        await play_cloud_outage(scenario, outage_start)
 
     assert_no_violations(run_scenario(act, monkeypatch, site))
 
@@ -224,9 +220,7 @@
         scenario.cut_off(SINGLE_ZONE, [DOUBLE_ZONE])
         await curio.sleep(CANCEL_DELAY_S)
         await cancel_all(scenario, jobs, SINGLE_ZONE)
-        await curio.sleep(outage_start * scenario.worker_settings.cancel_s)
-        scenario.cloud.down = True
-        await wait_for_deadline(scenario)
+        await play_cloud_outage(scenario, outage_start)
 
     assert_no_violations(run_scenario(act, monkeypatch, site))
 
@@ -241,8 +235,7 @@
     """
 
     async def act(scenario: Scenario) -> None:
-        other_zone = SINGLE_ZONE if zone == DOUBLE_ZONE else DOUBLE_ZONE
-        jobs = await start_work(scenario, zone, other_zone)
+        jobs = await start_work(scenario, zone, OTHER_ZONE[zone])
         scenario.cloud.down = True
         isolate_zone(scenario, zone)
         await curio.sleep(1.0)
