Find listed tests though the configuration tells pytest to be quiet

Cause: `tools.known_red` collects tests with `-q`; with the `-q` of pyproject.toml pytest then prints counts instead of ids. The list had been empty, and the tests of the tool run in a folder without that configuration.

Change: the collection leaves the configured options out.

--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -77,6 +77,14 @@
         assert "2 passed" in result.stdout
 
 
+def test_configured_options_do_not_hide_the_tests(tmp_path: Path) -> None:
+    """Guards against: pytest prints no test ids when it is told twice to be quiet."""
+    (tmp_path / "pyproject.toml").write_text('[tool.pytest.ini_options]\naddopts = "-q -n 2"\n')
+    (tmp_path / "list").write_text(entry_line("test_some.py::test_one"))
+    validation = run_module(tmp_path, "tools.known_red", "list")
+    assert validation.returncode == 0, validation.stderr
+
+
 @pytest.mark.parametrize(
     "line", ["test_some.py::test_one, b\n", entry_line("test_some.py::test_on")]
 )
--- a/tools/known_red.py
+++ b/tools/known_red.py
@@ -70,7 +70,8 @@
 
 def collect_tests() -> list[str]:
     """Return the ids of all tests in the current directory, collected by pytest."""
-    command = [sys.executable, "-m", "pytest", "--collect-only", "-q", "-n", "0"]
+    # The configured options may include another `-q`, with which pytest prints no ids.
+    command = [sys.executable, "-m", "pytest", "-o", "addopts=", "--collect-only", "-q"]
     run = subprocess.run(command, capture_output=True, text=True, check=False)
     return [line for line in run.stdout.splitlines() if "::" in line]
 
