--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import atexit
+import itertools
 import json
 import os
 import random
@@ -43,11 +44,31 @@
     """The case could not be carried out."""
 
 
-def free_port() -> int:
-    """Return a port of the loopback address that is free at the moment."""
-    with socket.socket() as sock:
-        sock.bind((LOOPBACK, 0))
-        return int(sock.getsockname()[1])
+def held_port() -> tuple[socket.socket, int]:
+    """Return a socket that is bound to a free port of the loopback address, and the port."""
+    sock = socket.socket()
+    sock.bind((LOOPBACK, 0))
+    return sock, int(sock.getsockname()[1])
+
+
+def controller_ports(count: int) -> list[int]:
+    """Return free ports below those that systems give to connections, apart for each process.
+
+    A controller binds its ports itself, so they can't be held until then. Runs at the same time
+    must not get the same ones: they would talk to each other.
+    """
+    ports = []
+    first = 10_000 + os.getpid() % 1000 * 20
+    for port in itertools.chain(range(first, 30_000), range(10_000, first)):
+        with socket.socket() as sock:
+            try:
+                sock.bind((LOOPBACK, port))
+            except OSError:
+                continue
+        ports.append(port)
+        if len(ports) == count:
+            return ports
+    raise CouldNotRunError("no free ports")
 
 
 # -- HTTP --------------------------------------------------------------------------------------
@@ -67,8 +88,8 @@
     return head[0], headers, body
 
 
-async def serve(port: int, handler: Handler) -> asyncio.AbstractServer:
-    """Serve HTTP/1.1 with CBOR bodies on a loopback port."""
+async def serve(sock: socket.socket, handler: Handler) -> asyncio.AbstractServer:
+    """Serve HTTP/1.1 with CBOR bodies on a socket that is bound to a loopback port."""
 
     async def connected(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
@@ -87,7 +108,7 @@
         finally:
             writer.close()
 
-    return await asyncio.start_server(connected, LOOPBACK, port, backlog=256)
+    return await asyncio.start_server(connected, sock=sock, backlog=256)
 
 
 async def ask(
@@ -333,7 +354,7 @@
 
     def __init__(self, world: World, name: str, zone: str, spot: bool, boot_s: float) -> None:
         self.world, self.name, self.zone, self.spot = world, name, zone, spot
-        self.port = free_port()
+        self.sock, self.port = held_port()
         self.rented_at = time.monotonic()
         self.boot_s = boot_s
         self.fetch = float(world.breed["fetch_gb_per_s"])  # this machine's own rate
@@ -355,7 +376,7 @@
     async def run(self) -> None:
         """Boot, then report until the machine is gone."""
         await asyncio.sleep(self.boot_s)
-        self.server = await serve(self.port, self.handle)
+        self.server = await serve(self.sock, self.handle)
         self.up, self.renewed_at = True, time.monotonic()
         self.world.note(f"{self.name} is up in {self.zone}, fetches {self.fetch:.3f} GB/s")
         while not self.gone:
@@ -643,10 +664,12 @@
         self.cluster, self.breed = site["cluster"], site["breed"]
         self.workers = self.cluster["workers"]
         self.names = [f"hive-{number}" for number in range(len(site["zones"]))]
-        self.ports = {
-            name: {use: free_port() for use in ("bind", "peers", "state", "cloud")}
-            for name in self.names
-        }
+        own = iter(controller_ports(2 * len(self.names)))
+        self.ports = {name: {"bind": next(own), "peers": next(own)} for name in self.names}
+        self.socks: dict[tuple[str, str], socket.socket] = {}
+        for name in self.names:
+            for use in ("state", "cloud"):
+                self.socks[name, use], self.ports[name][use] = held_port()
         self.began = time.monotonic()
         self.verbose = True
         self.record = (folder / "record.txt").open("w", encoding="utf-8")
@@ -881,8 +904,8 @@
         ]
         self.servers = []
         for name in self.names:
-            self.servers.append(await serve(self.ports[name]["state"], self.store.handler(name)))
-            self.servers.append(await serve(self.ports[name]["cloud"], self.cloud.handle))
+            self.servers.append(await serve(self.socks[name, "state"], self.store.handler(name)))
+            self.servers.append(await serve(self.socks[name, "cloud"], self.cloud.handle))
         for name in self.names:
             self.start_controller(name)
         await self.wait_healthy()
