--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -29,7 +29,11 @@
 ROOT = Path(__file__).resolve().parents[2]
 sys.path.insert(0, str(ROOT / "target" / "deps"))
 
-import cbor2  # noqa: E402
+try:
+    import cbor2  # noqa: E402
+except ImportError:
+    print("target/deps has no cbor2: run the build of the deploy file first")
+    sys.exit(2)
 
 LOOPBACK = "127.0.0.1"
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
