Log the tasks of a gang that fails to start, and arrays that avoid machines

A gang that is stopped before it runs may have hit the leader's limit, the workers' limit, or a fetch that makes no progress: the line now has each task's machine, state and time in it. An array that isn't placed may lack capacity, quota or an allowed machine, or avoid the machines on which its tasks failed: the last case is now logged once per lease.

No decision changes.

--- a/topazhold/core/array_placement.py
+++ b/topazhold/core/array_placement.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Iterable, Iterator, Mapping
 from typing import NamedTuple
 
@@ -11,12 +12,14 @@
 from topazhold.core.failure_attribution import BAD_JOB_MACHINES
 from topazhold.core.fleet_survey import FleetSurvey
 from topazhold.core.job_queue import JobQueue
-from topazhold.core.jobs import Job, Resources
+from topazhold.core.jobs import DISTANT_PAST, Job, Resources
 from topazhold.core.machines import Machine
 from topazhold.core.placement_constraints import placement_allowed
 from topazhold.core.resources import NO_RESOURCES, add_resources, count_fitting
 from topazhold.core.start_objectives import StartObjectives
 
+log = logging.getLogger(__name__)
+
 #: Tasks of an array for which capacity is reclaimed from other teams in one round.
 MAX_RECLAIMED_TASKS = 16
 #: Heartbeat intervals that an array without capacity waits before each reclaim from other teams.
@@ -63,7 +66,8 @@
 class ArrayPlacement:
     """Plans the tasks of arrays.
 
-    Owns, by job, the time since which an array has found no capacity, or of its last reclaim.
+    Owns, by job, the time since which an array has found no capacity, or of its last reclaim, and
+    the time when it was last logged that only machines on which the job failed have capacity.
     """
 
     def __init__(
@@ -79,10 +83,12 @@
         self._eviction = eviction
         self._heartbeat_interval_s = cluster.heartbeat_interval_s
         self._starved_since: dict[str, float] = {}
+        self._avoidance_logged_at: dict[str, float] = {}
         cluster.on_job_forgotten(self._forget)
 
     def _forget(self, job_id: str) -> None:
         self._starved_since.pop(job_id, None)
+        self._avoidance_logged_at.pop(job_id, None)
 
     def place(self, job: Job, survey: FleetSurvey) -> None:
         """Plan as many tasks of an array as capacity and its team's limit allow."""
@@ -169,26 +175,40 @@
         if request in survey.unplaceable_requests:
             return []
         ranked = []
+        avoided = []
         # These were usable when the round began; no heartbeat is handled during a round.
         for machine in survey.with_capacity:
             if machine.machine_type is None:
                 continue
             if not placement_allowed(spec, machine.machine_type.name, machine.zone, machine.spot):
                 continue
-            if machine.name in job.failed_on and len(job.failed_on) < BAD_JOB_MACHINES:
-                continue
+            is_avoided = machine.name in job.failed_on and len(job.failed_on) < BAD_JOB_MACHINES
             available = add_resources(
                 machine.free(), reserved_by_machine.get(machine.name, NO_RESOURCES), -1.0
             )
             count = count_fitting(job.need, available, spec.tasks)
-            if count:
+            if count and is_avoided:
+                avoided.append(machine.name)
+            elif count:
                 key = (self._cost_s(job, machine), available[1], machine.name)
                 ranked.append((key, ArrayCandidate(machine, count)))
         if not ranked and not job.failed_on:
             survey.unplaceable_requests.add(request)
+        if avoided and not ranked:
+            self._log_avoided(job, avoided, survey.now)
         ranked.sort(key=lambda candidate: candidate[0])
         return [candidate for _, candidate in ranked]
 
+    def _log_avoided(self, job: Job, avoided: list[str], now: float) -> None:
+        """Log, once per lease, that only machines on which the job failed have capacity."""
+        if now - self._avoidance_logged_at.get(job.id, DISTANT_PAST) > self._cluster.lease_s:
+            self._avoidance_logged_at[job.id] = now
+            log.info(
+                "job %s not placed: only machines on which it failed have capacity: %s",
+                job.id,
+                ",".join(avoided),
+            )
+
     def _cost_s(self, job: Job, machine: Machine) -> float:
         """Return the seconds until a task would start on a machine, plus penalties."""
         spec = job.spec
--- a/topazhold/core/eviction.py
+++ b/topazhold/core/eviction.py
@@ -106,6 +106,13 @@
         if job.gang_state is GangState.RUNNING and previous_state is GangState.STARTING:
             log.info("gang %s is running, %.1f s after it arrived", job.id, now - job.arrived)
         if reason is not None and not job.is_complete:
+            if previous_state is GangState.STARTING:
+                log.info(
+                    "gang %s did not start in %.1f s: %s",
+                    job.id,
+                    now - job.gang_since,
+                    gangs.describe_tasks(job, now),
+                )
             # A gang that is saving a checkpoint at a failover must finish that: a second kill
             # without grace would lose the checkpoint.
             has_run = previous_state is GangState.RUNNING or any(
--- a/topazhold/core/gangs.py
+++ b/topazhold/core/gangs.py
@@ -92,6 +92,14 @@
     return None
 
 
+def describe_tasks(job: Job, now: float) -> str:
+    """Return, for the log, how long each task of a gang has been in its state and where."""
+    return ", ".join(
+        f"{index} on {attempt.machine} {attempt.state.value} for {now - attempt.state_since:.1f} s"
+        for index, attempt in sorted(job.attempts.items())
+    )
+
+
 def restore(job: Job, now: float) -> None:
     """Set the state of a gang at a failover, from the attempts that its intents name."""
     if not job.attempts:
