Start gangs whose images take longer than their tasks may wait

Cause: the leader stopped a start at 0.8 of gang_wait_s, whatever was fetched, and all tasks were launched at once, so an image that takes longer than gang_wait_s could never be there in time.

Change: a start now waits as long as the workers let it. Launches that would wait too long for the slowest fetch of the others are held back, and their machines kept. If a task ends with 'incomplete' all the same, the fetches of the others go on (new state FETCHING) and the next attempt finds the images cached; so does a new leader. Advancing gangs moves from Eviction to a module of its own.

--- a/tests/fakes/worker.py
+++ b/tests/fakes/worker.py
@@ -16,7 +16,7 @@
 
 #: Resources of a machine, by the protocol's field names.
 MACHINE_SIZE = {"vcpus": 16.0, "cards": 4.0, "ram_gb": 64.0}
-#: Speed of image downloads.
+#: Nominal speed of image downloads.
 IMAGE_GB_PER_S = 2.0
 #: Range of the seconds from the rental of a machine to its first heartbeat.
 BOOT_S = (0.5, 4.0)
@@ -78,6 +78,7 @@
         self.fencing_token = 0
         self.tasks: dict[tuple[str, int], FakeTask] = {}
         self.images: set[str] = set()
+        self.image_gb_per_s = IMAGE_GB_PER_S * simulation.draw_fetch_ratio()
         self.up = False
         self.terminated = False
         self.hanging_until = 0.0
@@ -362,7 +363,7 @@
 
     def _step_task(self, task: FakeTask, step_s: float) -> None:
         if task.state == "pulling":
-            task.remaining -= step_s * IMAGE_GB_PER_S
+            task.remaining -= step_s * self._pull_rate()
             if task.remaining <= 0 or task.spec["comb"] in self.images:
                 self.images.add(task.spec["comb"])
                 self._start(task)
@@ -377,6 +378,13 @@
             if task.remaining <= 0:
                 self.end_task(task, "stopped", progress_saved=True)
 
+    def _pull_rate(self) -> float:
+        """Return the speed in GB/s at which each image is pulled."""
+        if not self.simulation.fetches_share_rate:
+            return self.image_gb_per_s
+        pulled = {task.spec["comb"] for task in self.tasks.values() if task.state == "pulling"}
+        return self.image_gb_per_s / len(pulled - self.images or {""})
+
     def _start(self, task: FakeTask) -> None:
         self.state_changed = True
         self.simulation.task_started(self, task)
--- a/tests/simulation/deployment.py
+++ b/tests/simulation/deployment.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from random import Random
 from typing import Any
 
@@ -64,6 +65,9 @@
         self.paused_until: dict[str, float] = {}  # by controller
         self.message_cost_s = 0.0  # time for which each message in or out occupies a controller
         self.peers_unreachable = False
+        # Ratio of a new machine's fetch rate to the nominal one.
+        self.draw_fetch_ratio: Callable[[], float] = lambda: 1.0
+        self.fetches_share_rate = False  # among the images that a machine fetches at once
         self.peer_messages: dict[str, list[tuple[Any, ...]]] = {}  # most recent ones, by tag
         self.notes: list[str] = []
         self.violations: list[str] = []
--- a/topazhold/core/estimates.py
+++ b/topazhold/core/estimates.py
@@ -11,12 +11,26 @@
 #: Share of the expected run time that is the least remaining time of a running task.
 MIN_REMAINING_SHARE = 0.15
 
+#: Least and largest ratio of a machine's fetch rate to that of its type.
+SLOWEST_FETCH_RATIO = 2 / 3
+FASTEST_FETCH_RATIO = 4 / 3
+
 
 def fetch_s(image_gb: float, rate_gb_per_s: float) -> float:
     """Return the seconds that fetching images takes; 0 if the rate is 0, which means unknown."""
     return image_gb / rate_gb_per_s if rate_gb_per_s > 0 else 0.0
 
 
+def longest_fetch_s(nominal_s: float) -> float:
+    """Return the seconds that a fetch takes at the slowest rate of a machine of its type."""
+    return nominal_s / SLOWEST_FETCH_RATIO
+
+
+def shortest_fetch_s(nominal_s: float) -> float:
+    """Return the seconds that a fetch takes at the fastest rate of a machine of its type."""
+    return nominal_s / FASTEST_FETCH_RATIO
+
+
 class Estimates:
     """A moving average of log(run time / estimate) per job class."""
 
--- a/topazhold/core/eviction.py
+++ b/topazhold/core/eviction.py
@@ -6,8 +6,7 @@
 
 from topazhold.core import gangs
 from topazhold.core.cluster_state import ClusterState
-from topazhold.core.jobs import GangState, Job, JobState
-from topazhold.core.start_objectives import StartObjectives
+from topazhold.core.jobs import Job, JobState
 from topazhold.core.task_attempts import UNSENT, AttemptState, TaskAttempt
 
 log = logging.getLogger(__name__)
@@ -24,15 +23,11 @@
 class Eviction:
     """Stops single tasks and whole gangs.
 
-    Owns no state but the `GangTimeouts`: requested stops are marked on the attempts themselves.
+    Owns no state: requested stops are marked on the attempts themselves.
     """
 
-    def __init__(self, cluster: ClusterState, objectives: StartObjectives) -> None:
+    def __init__(self, cluster: ClusterState) -> None:
         self._cluster = cluster
-        self._objectives = objectives
-        self._timeouts = gangs.GangTimeouts(
-            cluster.heartbeat_interval_s, cluster.timing.gang_wait_s
-        )
         self._heartbeat_interval_s = cluster.heartbeat_interval_s
         self._lease_s = cluster.lease_s
         self._cancel_s = cluster.timing.cancel_s
@@ -87,42 +82,14 @@
         """Preempt a task or its whole gang, with time to save a checkpoint if the job has any."""
         job = attempt.job
         if job.gang:
-            self.stop_gang(job, self._checkpoint_grace_s(job), reason, now)
+            self.stop_gang(job, self.checkpoint_grace_s(job), reason, now)
         else:
-            self.stop_attempt(attempt, self._checkpoint_grace_s(job), reason, now)
+            self.stop_attempt(attempt, self.checkpoint_grace_s(job), reason, now)
 
-    def _checkpoint_grace_s(self, job: Job) -> float:
+    def checkpoint_grace_s(self, job: Job) -> float:
+        """Return the seconds that a kill leaves a task of the job for saving a checkpoint."""
         return job.spec.save_s + self._heartbeat_interval_s if job.spec.checkpoint_s > 0 else 0.0
 
-    def advance_gang(self, job: Job, now: float) -> None:
-        """Apply what depends on time to a live gang: ageing, the start's progress, timeouts."""
-        previous_state = job.gang_state
-        if previous_state is GangState.WAITING and not job.is_aged:
-            # Ageing is never undone: work that was preempted for an aged gang would otherwise
-            # preempt it in turn.
-            job.is_aged = now - job.arrived > self._objectives.ageing_threshold_s(job)
-            self._cluster.count_changes(job.is_aged)
-        reason = gangs.advance(job, self._timeouts, now)
-        if job.gang_state is GangState.RUNNING and previous_state is GangState.STARTING:
-            log.info("gang %s is running, %.1f s after it arrived", job.id, now - job.arrived)
-        if reason is not None and not job.is_complete:
-            if previous_state is GangState.STARTING:
-                log.info(
-                    "gang %s did not start in %.1f s: %s",
-                    job.id,
-                    now - job.gang_since,
-                    gangs.describe_tasks(job, now),
-                )
-            # A gang that is saving a checkpoint at a failover must finish that: a second kill
-            # without grace would lose the checkpoint.
-            has_run = previous_state is GangState.RUNNING or any(
-                attempt.state is AttemptState.FLUSHING for attempt in job.attempts.values()
-            )
-            grace_s = self._checkpoint_grace_s(job) if has_run else 0.0
-            self.stop_gang(job, grace_s, reason, now)
-            gangs.advance(job, self._timeouts, now)
-        self._cluster.count_changes(job.gang_state is not previous_state)
-
     def stop_ended_job(self, job: Job, now: float) -> None:
         """Stop the remaining tasks of an ended job."""
         for attempt in list(job.attempts.values()):
--- a/topazhold/core/gang_placement.py
+++ b/topazhold/core/gang_placement.py
@@ -6,11 +6,12 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-from topazhold.core import gangs, preemption
+from topazhold.core import preemption
 from topazhold.core.binding_reservations import BindingReservations
 from topazhold.core.cluster_state import ClusterState
 from topazhold.core.eviction import Eviction
 from topazhold.core.fleet_survey import NO_CLAIM, FleetSurvey
+from topazhold.core.gang_supervision import GangSupervision
 from topazhold.core.jobs import Job, Resources
 from topazhold.core.machines import Machine
 from topazhold.core.reservations import Reservation
@@ -41,11 +42,13 @@
         reservations: BindingReservations,
         limits: TeamLimits,
         eviction: Eviction,
+        supervision: GangSupervision,
     ) -> None:
         self._cluster = cluster
         self._reservations = reservations
         self._limits = limits
         self._eviction = eviction
+        self._supervision = supervision
         self._preemption_binding_s = PREEMPTION_BINDING_HEARTBEATS * cluster.heartbeat_interval_s
 
     def place(self, job: Job, survey: FleetSurvey) -> None:
@@ -100,7 +103,7 @@
                 attempts.append(
                     self._cluster.new_attempt(job, index, machine, attempt_number, survey.now)
                 )
-        gangs.start(job, attempts, survey.now)
+        self._supervision.start(job, attempts, survey.now)
         survey.on_gang_placed(job, attempts)
         job.starting_reservation = reservation.serial
         log.info(
--- a/topazhold/core/gangs.py
+++ b/topazhold/core/gangs.py
@@ -9,8 +9,10 @@
 START_HEARTBEATS = 1.5
 #: Heartbeat intervals after the intents within which every worker must have taken its task.
 LAUNCH_HEARTBEATS = 3.5
-#: Share of the workers' own limit `gang_wait_s`: the leader's limit must expire first.
-WAIT_SHARE = 0.8
+#: Heartbeat intervals of the workers' limit `gang_wait_s` that are kept as a reserve for the
+#: launches of other tasks, and the least share of the limit that is left.
+LAUNCH_RESERVE_HEARTBEATS = 2.0
+MIN_IMAGE_WAIT_SHARE = 0.5
 
 
 class GangTimeouts:
@@ -19,7 +21,10 @@
     def __init__(self, heartbeat_interval_s: float, gang_wait_s: float) -> None:
         self.start_s = START_HEARTBEATS * heartbeat_interval_s
         self.launch_s = LAUNCH_HEARTBEATS * heartbeat_interval_s
-        self.wait_s = WAIT_SHARE * gang_wait_s
+        self.max_image_wait_s = max(
+            gang_wait_s - LAUNCH_RESERVE_HEARTBEATS * heartbeat_interval_s,
+            MIN_IMAGE_WAIT_SHARE * gang_wait_s,
+        )
 
 
 def start(job: Job, attempts: list[TaskAttempt], now: float) -> None:
@@ -27,6 +32,7 @@
     assert job.gang_state is GangState.WAITING and not job.attempts
     for attempt in attempts:
         job.add_attempt(attempt)
+    job.keeps_fetches = False
     job.enter_gang_state(GangState.STARTING, now)
 
 
@@ -49,7 +55,7 @@
 def advance(job: Job, timeouts: GangTimeouts, now: float) -> str | None:
     """Advance the gang's state by those of its tasks; return a reason if it must stop."""
     attempts = job.attempts
-    if job.gang_state is GangState.STOPPING:
+    if job.gang_state in (GangState.STOPPING, GangState.FETCHING):
         if not attempts:
             job.enter_gang_state(GangState.WAITING, now)
         return None
@@ -66,32 +72,46 @@
 
 
 def _start_failure(job: Job, timeouts: GangTimeouts, now: float) -> str | None:
+    """Return why a start has failed, if it has; tasks wait for images as long as workers let them.
+
+    Launches that were held back for the fetches of others have their time from then on.
+    """
     last_image_at = 0.0
-    still_pulling = False
+    waits_for_task = False
     for attempt in job.attempts.values():
         if attempt.state is AttemptState.PULLING:
-            still_pulling = True
+            waits_for_task = True
         elif attempt.state is AttemptState.GATHERING:
             last_image_at = max(last_image_at, attempt.state_since)
-        elif attempt.state not in ON_MACHINE and now - job.gang_since > timeouts.launch_s:
-            return f"{attempt.machine} did not take its task"
+        elif attempt.state not in ON_MACHINE:
+            if now - max(job.gang_since, attempt.launch_due_since) > timeouts.launch_s:
+                return f"{attempt.machine} did not take its task"
+            waits_for_task = waits_for_task or attempt.launch_due_since > job.gang_since
     if (
-        not still_pulling
+        not waits_for_task
         and last_image_at
         and now - max(last_image_at, job.gang_since) > timeouts.start_s
     ):
         return "not running a heartbeat interval after its images"
-    if now - job.gang_since > timeouts.wait_s:
-        gathering_since = [
-            attempt.state_since
-            for attempt in job.attempts.values()
-            if attempt.state is AttemptState.GATHERING
-        ]
-        if gathering_since and now - min(gathering_since) > timeouts.wait_s:
-            return "waited too long for an image"
     return None
 
 
+def enter_fetching(job: Job, now: float) -> bool:
+    """Keep the fetches of a failed start if they are what it lacked; return whether it does.
+
+    A task that waited as long as its worker lets it shows that. A new leader doesn't know why
+    a task of an earlier term is gone.
+    """
+    is_fetching = any(
+        attempt.state is AttemptState.PULLING and not attempt.stopping
+        for attempt in job.attempts.values()
+    )
+    if job.keeps_fetches and is_fetching:
+        job.enter_gang_state(GangState.FETCHING, now)
+        return True
+    return False
+
+
 def describe_tasks(job: Job, now: float) -> str:
     """Return, for the log, how long each task of a gang has been in its state and where."""
     return ", ".join(
@@ -102,12 +122,13 @@
 
 def restore(job: Job, now: float) -> None:
     """Set the state of a gang at a failover, from the attempts that its intents name."""
+    job.keeps_fetches = True
     if not job.attempts:
         job.enter_gang_state(GangState.WAITING, now)
     elif (
         len(job.attempts) < job.spec.tasks
         or len({attempt.attempt_number for attempt in job.attempts.values()}) > 1
     ):
-        job.enter_gang_state(GangState.STOPPING, now)
+        job.enter_gang_state(GangState.FETCHING, now)
     else:
         job.enter_gang_state(GangState.STARTING, now)
--- a/topazhold/core/jobs.py
+++ b/topazhold/core/jobs.py
@@ -28,6 +28,7 @@
 
     WAITING = "waiting"
     STARTING = "starting"
+    FETCHING = "fetching"  # its start failed; machines that still fetch its image may finish
     RUNNING = "running"
     STOPPING = "stopping"
 
@@ -73,6 +74,7 @@
         self.requeued: list[int] = []  # heap of task indices to place again
         self.gang_state = GangState.WAITING
         self.gang_since = arrived
+        self.keeps_fetches = False  # a gang whose next failed start must not give up fetches
         self.progress_s = 0.0  # of a gang, as of its last checkpoint
         self.failed_on: dict[str, float] = {}  # machine -> time of the failure
         self.not_before = 0.0  # time before which no task is placed
--- a/topazhold/core/machines.py
+++ b/topazhold/core/machines.py
@@ -284,7 +284,11 @@
 
     def fetch_s(self, image: str, size_gb: float) -> float:
         """Return the expected seconds until the image is fetched, behind the pending fetches."""
-        if image in self.images or self.machine_type is None:
+        return 0.0 if image in self.images else self.pending_fetches_s(image, size_gb)
+
+    def pending_fetches_s(self, image: str, size_gb: float) -> float:
+        """Return the expected seconds that fetching the image and the pending ones takes."""
+        if self.machine_type is None:
             return 0.0
         queue = {image: size_gb}
         for attempt in self.attempts.values():
--- a/topazhold/core/scheduler.py
+++ b/topazhold/core/scheduler.py
@@ -63,6 +63,7 @@
         self.capacity_backoff = parts.scaling.capacity_backoff
         self._commands = parts.commands
         self._eviction = parts.eviction
+        self._gang_supervision = parts.gang_supervision
         self._heartbeats = parts.heartbeats
         self._failure_detection = parts.failure_detection
         self._reservations = parts.reservations
@@ -207,7 +208,7 @@
             if job.state is not JobState.LIVE:
                 self._eviction.stop_ended_job(job, now)
             elif job.gang:
-                self._eviction.advance_gang(job, now)
+                self._gang_supervision.advance(job, now)
         for machine in list(self.machines.values()):
             self._failure_detection.check_machine(machine, now)
         self._commands.wake_delayed(now)
--- a/topazhold/core/scheduler_parts.py
+++ b/topazhold/core/scheduler_parts.py
@@ -12,6 +12,7 @@
 from topazhold.core.failure_detection import FailureDetection
 from topazhold.core.fleet_scaling import FleetScaling
 from topazhold.core.gang_placement import GangPlacement
+from topazhold.core.gang_supervision import GangSupervision
 from topazhold.core.heartbeat_reconciliation import HeartbeatReconciliation
 from topazhold.core.job_queue import JobQueue
 from topazhold.core.machine_list_reconciliation import MachineListReconciliation
@@ -51,7 +52,8 @@
         )
         self.cluster = ClusterState(settings, self.timing, self.objectives, term, now)
         self.commands = WorkerCommands(self.cluster)
-        self.eviction = Eviction(self.cluster, self.objectives)
+        self.eviction = Eviction(self.cluster)
+        self.gang_supervision = GangSupervision(self.cluster, self.eviction, self.objectives)
         self._wire_observation()
         self._wire_decisions(operator, reservation_table)
 
@@ -77,7 +79,7 @@
             cluster, reservation_table, queue, limits, self.resource_offers
         )
         placement = PlacementStrategies(
-            GangPlacement(cluster, self.reservations, limits, eviction),
+            GangPlacement(cluster, self.reservations, limits, eviction, self.gang_supervision),
             ArrayPlacement(cluster, queue, self.objectives, eviction),
             ReplicaPlacement(cluster, eviction),
         )
--- a/topazhold/core/scheduling_round.py
+++ b/topazhold/core/scheduling_round.py
@@ -117,7 +117,7 @@
                 )
                 if attempt.stopping:
                     self._cluster.remove_attempt(attempt, now)
-                else:
+                elif not attempt.launch_held:
                     self._commands.wake(self._cluster.machines[attempt.machine], now)
 
     def intents_failed(self, attempts: Iterable[TaskAttempt], now: float) -> None:
--- a/topazhold/core/task_attempts.py
+++ b/topazhold/core/task_attempts.py
@@ -53,6 +53,8 @@
         "state",
         "state_since",
         "launch_sequence",
+        "launch_held",
+        "launch_due_since",
         "running_since",
         "stop_grace_s",
         "stop_requested_at",
@@ -73,6 +75,8 @@
         self.state = AttemptState.INTENDED
         self.state_since = now  # when it entered its state
         self.launch_sequence = -1  # of the heartbeat that the launch answered
+        self.launch_held = False  # the launch is not sent yet, though the intent may be written
+        self.launch_due_since = now  # when the launch could first be sent, as far as held back
         self.running_since: float | None = None
         self.stop_grace_s: float | None = None  # None unless a stop is requested
         self.stop_requested_at = 0.0  # when the stop was first requested
@@ -90,6 +94,12 @@
         assert self.state is AttemptState.INTENDED
         self._enter(AttemptState.WRITTEN, now)
 
+    def hold_launch(self, held: bool, now: float) -> None:
+        """Hold back the launch, or no longer; `launch_due_since` is when that ended."""
+        if self.launch_held or held:
+            self.launch_due_since = now
+        self.launch_held = held
+
     def mark_launch_sent(self, sequence: int, now: float) -> None:
         """Record that the response to heartbeat `sequence` carries the launch."""
         assert self.state is AttemptState.WRITTEN
--- a/topazhold/core/task_reconciliation.py
+++ b/topazhold/core/task_reconciliation.py
@@ -163,6 +163,8 @@
             self._failure_attribution.on_attempt_failed(machine, job, now)
         elif attempt.cause == wire.CAUSE_NO_CAPACITY:
             machine.quarantine_until(now + self._backoff_s)
+        elif attempt.cause == wire.CAUSE_INCOMPLETE:
+            job.keeps_fetches = True
         elif attempt.cause == wire.CAUSE_UNKNOWN:
             job.not_before = now + self._backoff_s
         if job.gang and attempt.running_since is not None:
--- a/topazhold/core/worker_commands.py
+++ b/topazhold/core/worker_commands.py
@@ -55,6 +55,7 @@
                 if (
                     attempt.state is AttemptState.WRITTEN
                     and not attempt.stopping
+                    and not attempt.launch_held
                     and attempt.incarnation == heartbeat.incarnation
                 ):
                     attempt.mark_launch_sent(heartbeat.sequence, now)
--- a/topazhold/wire/messages.py
+++ b/topazhold/wire/messages.py
@@ -67,6 +67,7 @@
 from topazhold.wire.workers import (
     CAUSE_DONE,
     CAUSE_ERROR,
+    CAUSE_INCOMPLETE,
     CAUSE_NO_CAPACITY,
     CAUSE_UNKNOWN,
     CLEAR,
@@ -101,6 +102,7 @@
     "CATALOG_PATH",
     "CAUSE_DONE",
     "CAUSE_ERROR",
+    "CAUSE_INCOMPLETE",
     "CAUSE_NO_CAPACITY",
     "CAUSE_UNKNOWN",
     "CLEAR",
--- a/topazhold/wire/workers.py
+++ b/topazhold/wire/workers.py
@@ -27,6 +27,7 @@
 #: Causes of a task's end that controllers distinguish.
 CAUSE_DONE = "done"
 CAUSE_ERROR = "error"
+CAUSE_INCOMPLETE = "incomplete"
 CAUSE_NO_CAPACITY = "no_room"
 CAUSE_UNKNOWN = "unknown"
 
