--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -93,7 +93,7 @@
 
     def __init__(self, rng: Any, ports: dict[str, dict[str, int]]) -> None:
         super().__init__(rng)
-        self._clients = {
+        self.clients = {
             name: Client((LOOPBACK, controller_ports["public"]), 8)
             for name, controller_ports in ports.items()
         }
@@ -101,7 +101,7 @@
     async def request(
         self, source: str, target: str, method: str, path: str, message: Any, timeout_s: float
     ) -> tuple[int, bytes]:
-        return await self._clients[target].request(method, path, message, timeout_s)
+        return await self.clients[target].request(method, path, message, timeout_s)
 
 
 class SocketCloud(FakeCloud):
@@ -152,6 +152,7 @@
         self.settings.cluster.workers.cancel_s = CANCEL_S
         self.settings.cluster.cloud.list_lag_s = 0.5
         self.folder = folder
+        self.program = ["run.py"]  # arguments of the interpreter that start a controller
         (folder / "operator.textproto").write_text(operator)
         self.elections: list[tuple[float, str]] = []
 
@@ -195,7 +196,7 @@
 
     def start_process(self, name: str) -> None:
         """Start a controller process; its log is appended to a file."""
-        command = [sys.executable, "run.py", "--config", str(self.write_settings(name))]
+        command = [sys.executable, *self.program, "--config", str(self.write_settings(name))]
         command += ["--operator", str(self.folder / "operator.textproto")]
         with (self.folder / f"{name}.log").open("ab") as log:
             self.controllers[name] = subprocess.Popen(command, cwd=ROOT, stderr=log)
@@ -247,16 +248,20 @@
 
 
 def run_loopback_scenario(
-    act: Callable[[LoopbackSimulation], Awaitable[None]],
+    act: Callable[[Any], Awaitable[None]],
     folder: Path,
     seed: int = 1,
     operator: str = "record_orders: true\n",
+    kind: type[LoopbackSimulation] = LoopbackSimulation,
 ) -> LoopbackSimulation:
-    """Run a scenario with real processes, which are killed even if it fails."""
+    """Run a scenario with real processes, which are killed even if it fails.
+
+    `act` gets a simulation of the class `kind`.
+    """
     simulations: list[LoopbackSimulation] = []
 
     async def main() -> None:
-        simulation = LoopbackSimulation(seed, folder, operator)
+        simulation = kind(seed, folder, operator)
         simulations.append(simulation)
         try:
             await act(simulation)
