--- a/tests/test_search.py
+++ b/tests/test_search.py
@@ -22,7 +22,7 @@
 from topazhold.wire.codec import json_size
 from topazhold.wire.jobs import JobSpec
 
-RULES = SearchRules(2.0, 16, 20, distance_s=1.0, preference_s=0.5)
+RULES = SearchRules(2.0, 16, 20, distance_s=1.0, preference_s=0.5, max_machine_tasks=120)
 MACHINE_RESOURCES = (16.0, 4.0, 64.0)
 
 
--- a/tools/costs.py
+++ b/tools/costs.py
@@ -189,7 +189,7 @@
         job for job in scheduler.jobs.values() if job.gang and job.spec.tasks == SEARCHED_GANG_SIZE
     )
     caches = {zone: scheduler.offers(zone, fleet.now, job) for zone in "ab"}
-    rules = SearchRules(2.0, 16, 20, 1.0, 1.0)
+    rules = SearchRules(2.0, 16, 20, 1.0, 1.0, max_machine_tasks=120)
     directory = scheduler.directory()
 
     def search_once() -> None:
--- a/topazhold/control/pending_gangs.py
+++ b/topazhold/control/pending_gangs.py
@@ -8,6 +8,7 @@
 
 from topazhold.control.cluster_view import ClusterView
 from topazhold.control.gang_reservations import GangReservations
+from topazhold.core import records
 from topazhold.core.candidate_slots import SearchContext, SearchRules
 from topazhold.core.group_search import Group, find_group, score_reservation
 from topazhold.core.jobs import DISTANT_PAST, Job
@@ -89,6 +90,9 @@
             operator.search_rounds,
             distance_s=workers.heartbeat_interval_s,
             preference_s=PREFERENCE_HEARTBEATS * workers.heartbeat_interval_s,
+            max_machine_tasks=records.max_machine_attempts(
+                settings.cluster.key_value_store.lasting_value_bytes
+            ),
         )
         self.by_id: dict[str, PendingGang] = {}
         self._max_round_s = max_round_s
--- a/topazhold/core/avoidance_demand.py
+++ b/topazhold/core/avoidance_demand.py
@@ -37,7 +37,10 @@
         missing = _missing_tasks(job, capacity, cluster, now)
         if missing > 0:
             machines = math.ceil(
-                missing / autoscaling.tasks_per_machine(job.need, machine_type, missing)
+                missing
+                / autoscaling.tasks_per_machine(
+                    job.need, machine_type, min(missing, policy.max_machine_tasks)
+                )
             )
             kind = autoscaling.demanded_kind(job.spec, machine_type, policy)
             demand = demands.setdefault(kind, autoscaling.CapacityDemand())
--- a/topazhold/core/binding_reservations.py
+++ b/topazhold/core/binding_reservations.py
@@ -234,6 +234,8 @@
             if machine is None or machine.machine_type is None:
                 return f"{name} is not known"
             reason = _slot_rejection_reason(job, machine, count)
+            if reason is None and count > self._cluster.max_machine_attempts:
+                reason = "limited to fewer tasks by the size of its intents"
             if reason is not None:
                 return f"{name} is {reason}"
             zones[machine.zone] = zones.get(machine.zone, 0) + count
--- a/topazhold/core/candidate_slots.py
+++ b/topazhold/core/candidate_slots.py
@@ -33,6 +33,7 @@
     rounds: int  # rounds of the swap loop
     distance_s: float  # cost, in seconds, of each task outside the main zone
     preference_s: float  # cost, in seconds, of violating one placement preference
+    max_machine_tasks: int  # of a gang on one machine, whose intents must fit a stored value
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,6 +74,7 @@
     if not placement_allowed(spec, offer.machine_type, offer.zone, offer.spot):
         return []
     need = (spec.cpus, spec.gpus, spec.memory_gb)
+    limit = min(limit, rules.max_machine_tasks)
     missing_gb = 0.0 if spec.image in offer.images else spec.image_gb
     image_fetch_s = fetch_s(missing_gb, offer.fetch_rate)
     slots: list[Slot] = []
--- a/topazhold/core/capacity_demand.py
+++ b/topazhold/core/capacity_demand.py
@@ -15,9 +15,6 @@
 from topazhold.wire.cloud import MachineType
 from topazhold.wire.jobs import JobSpec
 
-#: A task limit larger than the number that fit on any machine.
-UNLIMITED_TASKS = 1 << 20
-
 
 @dataclass(frozen=True, slots=True)
 class ScalingPolicy:
@@ -26,6 +23,7 @@
     headroom_share: float  # extra capacity, as a share of the demand
     idle_boots: float  # idle time before scale-in, in boot times
     use_spot: bool
+    max_machine_tasks: int  # whose intents fit a stored value
 
 
 @dataclass(slots=True, eq=False)
@@ -146,7 +144,7 @@
         tasks = remaining_quota.consume(job, job.spec.tasks - job.completed_count)
         if tasks <= 0:
             continue
-        machines = tasks / tasks_per_machine(job.need, machine_type, UNLIMITED_TASKS)
+        machines = tasks / tasks_per_machine(job.need, machine_type, policy.max_machine_tasks)
         kind = demanded_kind(job.spec, machine_type, policy)
         demand = demands.setdefault(kind, CapacityDemand())
         zone = _bound_zone(job, zone_of)
--- a/topazhold/core/cluster_state.py
+++ b/topazhold/core/cluster_state.py
@@ -22,8 +22,6 @@
 ATTEMPTS_PER_TERM = 1 << 24
 #: Heartbeat intervals for which a machine takes new work after a heartbeat to this controller.
 MAX_HEARTBEAT_AGE_INTERVALS = 2.5
-#: Bytes of a shard's stored value besides its packed attempts.
-SHARD_OVERHEAD_BYTES = 512
 
 #: States of a machine whose worker has sent a heartbeat.
 UP_STATES = (MachineState.UNSYNCED, MachineState.READY, MachineState.DRAINING)
@@ -49,10 +47,8 @@
         self.lease_s = timing.lease_s
         self._objectives = objectives
         self._max_heartbeat_age_s = MAX_HEARTBEAT_AGE_INTERVALS * timing.heartbeat_interval_s
-        self._max_machine_attempts = max(
-            1,
-            (settings.cluster.key_value_store.lasting_value_bytes - SHARD_OVERHEAD_BYTES)
-            // records.ATTEMPT_BYTES,
+        self.max_machine_attempts = records.max_machine_attempts(
+            settings.cluster.key_value_store.lasting_value_bytes
         )
         self.jobs: dict[str, Job] = {}
         self.machines: dict[str, Machine] = {}
@@ -257,7 +253,7 @@
 
     def intent_room(self, machine: Machine) -> int:
         """Return for how many more attempts the machine's intents fit a stored value."""
-        return max(0, self._max_machine_attempts - len(machine.attempts))
+        return max(0, self.max_machine_attempts - len(machine.attempts))
 
     def attach(self, attempt: TaskAttempt) -> None:
         """Add an attempt that this leader did not plan but that may be on its machine."""
--- a/topazhold/core/records.py
+++ b/topazhold/core/records.py
@@ -31,6 +31,8 @@
 MAX_ENDED_NAME_LENGTH = 40
 #: Bytes assumed per packed attempt when computing how many of a machine fit a value.
 ATTEMPT_BYTES = 64
+#: Bytes of a shard's stored value besides its packed attempts.
+SHARD_OVERHEAD_BYTES = 512
 BITS_PER_BYTE = 8
 #: Base64 encodes each group of this many bytes, the last one padded, as this many characters.
 BASE64_GROUP_BYTES = 3
@@ -182,6 +184,11 @@
     return {"by": token, "boxes": intents}
 
 
+def max_machine_attempts(value_bytes: int) -> int:
+    """Return how many attempts on one machine fit a stored value of the given size."""
+    return max(1, (value_bytes - SHARD_OVERHEAD_BYTES) // ATTEMPT_BYTES)
+
+
 class AttemptIntent(NamedTuple):
     """An attempt that may be on a machine."""
 
--- a/topazhold/core/scheduler_parts.py
+++ b/topazhold/core/scheduler_parts.py
@@ -87,7 +87,10 @@
             cluster, queue, self.reservations, placement, self.commands, operator.reserve_share
         )
         policy = autoscaling.ScalingPolicy(
-            operator.headroom_share, operator.idle_boots, operator.use_spot
+            operator.headroom_share,
+            operator.idle_boots,
+            operator.use_spot,
+            cluster.max_machine_attempts,
         )
         self.zone_demand = ZoneDemand(cluster, limits, policy)
         self.scaling = FleetScaling(
--- a/topazhold/core/zone_demand.py
+++ b/topazhold/core/zone_demand.py
@@ -64,7 +64,9 @@
         machine_type: MachineType,
         shortage: ZoneShortage,
     ) -> None:
-        tasks_per_machine = autoscaling.tasks_per_machine(job.need, machine_type, job.spec.tasks)
+        tasks_per_machine = autoscaling.tasks_per_machine(
+            job.need, machine_type, min(job.spec.tasks, self._policy.max_machine_tasks)
+        )
         additional_machines = math.ceil(shortage.tasks / tasks_per_machine)
         kind = autoscaling.demanded_kind(job.spec, machine_type, self._policy)
         present_machines = sum(
