--- a/tests/test_broken_variants.py
+++ b/tests/test_broken_variants.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from tests.late_copies import accept_any_sequence
 from tests.random_days import play
 from tests.simulation.rules import LARGEST_GANG_TASKS
 from topazhold.control import users as users_module
@@ -24,7 +25,6 @@
 from topazhold.core.failure_detection import FailureDetection
 from topazhold.core.job_queue import JobQueue
 from topazhold.core.jobs import Job
-from topazhold.core.scheduler import Scheduler
 from topazhold.core.task_reconciliation import TaskReconciliation
 from topazhold.core.worker_commands import WorkerCommands
 from topazhold.io.http import Response
@@ -135,19 +135,6 @@
     )
 
 
-def accept_late_heartbeats(patch: pytest.MonkeyPatch) -> None:
-    """Heartbeats are processed even if they are older than the last one."""
-    on_heartbeat = Scheduler.on_heartbeat
-
-    def accept_any_sequence(self: Scheduler, heartbeat: Any, *args: Any, **kwargs: Any) -> Any:
-        machine = self.machines.get(heartbeat.machine)
-        if machine is not None:
-            machine.sequence = -1
-        return on_heartbeat(self, heartbeat, *args, **kwargs)
-
-    patch.setattr(Scheduler, "on_heartbeat", accept_any_sequence)
-
-
 VARIANTS: list[tuple[Patch, str, list[str]]] = [
     (ignore_predecessors_intents, "ran_twice", ["crash_leader", "hang", "machine_cut"]),
     (replace_tasks_of_silent_machines, "ran_twice", ["hang", "machine_cut", "zones_cut"]),
@@ -158,7 +145,7 @@
     (finish_job_with_first_task, "not_done", []),
     (answer_pending_for_any_job, "invented", []),
     (report_done_jobs_as_aborted, "went_back", []),
-    (accept_late_heartbeats, "ran_twice", ["late_copies"]),
+    (accept_any_sequence, "ran_twice", ["late_copies"]),
 ]
 #: Variants whose violation shows only at the end of a day.
 SLOW_VARIANTS: list[tuple[Patch, str]] = [
--- a/tests/test_gang_fetches.py
+++ b/tests/test_gang_fetches.py
@@ -12,6 +12,7 @@
 from tests.scenarios import Scenario, assert_no_violations, run_scenario
 from tests.scheduler_harness import SchedulerHarness
 from tests.simulation.rules import MAX_LARGEST_GANG_WAIT_S
+from tests.versions import starts_without_fetching
 from topazhold.core import failover
 from topazhold.core.estimates import FASTEST_FETCH_RATIO, SLOWEST_FETCH_RATIO
 from topazhold.core.gangs import LAUNCH_HEARTBEATS
@@ -40,8 +41,11 @@
     ]
 
 
-async def run_gang_with_slow_fetches(scenario: Scenario) -> None:
-    """Submit a gang of drawn size and image, to machines of which some have the image."""
+async def submit_gang_with_slow_fetches(scenario: Scenario) -> tuple[str, int]:
+    """Submit a gang of drawn size and image, to machines of which some have the image.
+
+    Returns the gang and its number of tasks.
+    """
     rng = scenario.rng
     scenario.draw_fetch_ratio = lambda: draw_fetch_ratio(rng)
     scenario.fetches_share_rate = rng.random() < 0.5
@@ -73,24 +77,60 @@
         image="large",
         image_gb=image_s * IMAGE_GB_PER_S,
     )
-    submitted_at = scenario.clock.now
-    if rng.random() < 0.4:
-        await curio.sleep(rng.uniform(5.0, 60.0))
-        leader = scenario.leader()
-        if leader is not None:
-            await scenario.restart_controllers([leader])
-    left_s = submitted_at + MAX_LARGEST_GANG_WAIT_S - scenario.clock.now
+    return gang, tasks
+
+
+async def restart_leader(scenario: Scenario) -> None:
+    """Restart the leader, if there is one, at a drawn moment of the fetches."""
+    await curio.sleep(scenario.rng.uniform(5.0, 60.0))
+    leader = scenario.leader()
+    if leader is not None:
+        await scenario.restart_controllers([leader])
+
+
+async def wait_until_running(scenario: Scenario, gang: str, tasks: int, since: float) -> None:
+    """Assert that all tasks of a gang run in time after `since`."""
+    left_s = since + MAX_LARGEST_GANG_WAIT_S - scenario.clock.now
     await scenario.wait_until(
         lambda: [task.state for task in tasks_of(scenario, gang)].count("running") == tasks, left_s
     )
 
 
+async def run_gang_with_slow_fetches(scenario: Scenario) -> None:
+    """Let a drawn gang run, in some runs with a change of leader."""
+    gang, tasks = await submit_gang_with_slow_fetches(scenario)
+    submitted_at = scenario.clock.now
+    if scenario.rng.random() < 0.4:
+        await restart_leader(scenario)
+    await wait_until_running(scenario, gang, tasks, submitted_at)
+
+
 @pytest.mark.parametrize("seed", range(24))
 def test_gang_runs_whatever_its_image_and_rates(seed: int, monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against: a start that is given up, with its fetches, before the image can be there."""
     assert_no_violations(run_scenario(run_gang_with_slow_fetches, monkeypatch, "maps", seed))
 
 
+@pytest.mark.parametrize("old_controllers", [["hive-1"], ["hive-0", "hive-2"]])
+@pytest.mark.parametrize("seed", range(100, 106))
+def test_starts_are_safe_beside_controllers_that_stop_them_early(
+    seed: int, old_controllers: list[str], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against: an earlier version takes over a gang whose launches are held back."""
+
+    async def act(scenario: Scenario) -> None:
+        scenario.versions = dict.fromkeys(old_controllers, starts_without_fetching())
+        gang, tasks = await submit_gang_with_slow_fetches(scenario)
+        for _ in range(3):
+            await restart_leader(scenario)
+        for name in old_controllers:
+            del scenario.versions[name]
+            await scenario.restart_controllers([name])
+        await wait_until_running(scenario, gang, tasks, scenario.clock.now)
+
+    assert_no_violations(run_scenario(act, monkeypatch, "maps", seed))
+
+
 # -- one gang, heartbeat by heartbeat ------------------------------------------------------
 
 
--- a/tests/versions.py
+++ b/tests/versions.py
@@ -33,6 +33,9 @@
 #: the tasks of cancelled jobs. Its modules and members have their present names.
 UNLIMITED_RENEWAL_COMMIT = "e8286454df603d90ce145d3dff7c2b8042f4392b"
 UNLIMITED_RENEWAL_PACKAGE = "topazhold_unlimited_renewal"
+#: The last version that stops a gang's start before the workers do, with all its fetches.
+STARTS_WITHOUT_FETCHING_COMMIT = "85646869383bb18c74e6ef37e7bcf63b85d7b0a8"
+STARTS_WITHOUT_FETCHING_PACKAGE = "topazhold_starts_without_fetching"
 
 #: Modules, and classes, functions and attributes, that were renamed or moved since the
 #: production version: current name -> production's name. Code that uses both versions refers
@@ -129,6 +132,12 @@
     return _load_commit(UNLIMITED_RENEWAL_COMMIT, UNLIMITED_RENEWAL_PACKAGE)
 
 
+@cache
+def starts_without_fetching() -> Version:
+    """Load the last version without the state `FETCHING`; fails if it is not in the history."""
+    return _load_commit(STARTS_WITHOUT_FETCHING_COMMIT, STARTS_WITHOUT_FETCHING_PACKAGE)
+
+
 def _load_commit(commit: str, package: str) -> Version:
     """Extract a commit's sources, and make them importable as `package`."""
     archive = subprocess.run(
