--- a/tests/test_loopback_late_copies.py
+++ b/tests/test_loopback_late_copies.py
@@ -52,8 +52,7 @@
 REPEATED_REQUESTS = 20
 REPEATED_ROUNDS = 8
 ROUND_INTERVAL_S = 0.5
-#: The rules that a late copy of a start command would break. A heartbeat of a machine that is gone
-#: can also have it released once more, which the cloud ignores (`returned_twice`).
+#: The rules that a late copy of a start command would break.
 CHECKED_RULES = {"ran_twice", "ran_cancelled", LAUNCHED_CANCELLED}
 #: More requests than a proxy carries in a scenario.
 ALL_REQUESTS = 1_000_000
@@ -196,6 +195,12 @@
     assert len(simulation.elections) > RESTARTS
 
 
+def test_repeated_requests_break_no_rule(tmp_path: Path) -> None:
+    """Guards against: any broken rule by late copies, such as a second release of a machine."""
+    simulation = run_loopback_scenario(run_scene, tmp_path, kind=ProxiedSimulation)
+    assert simulation.violations == [], "\n".join(simulation.notes[-40:])
+
+
 def test_scene_catches_controllers_that_launch_by_direct_commands(tmp_path: Path) -> None:
     """Shows that the check above can fail."""
 
